--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,7 @@
+#include "process/eventlog.h"
+
+int main()
+{
+    carobjunction::EventLog::initialise(carobjunction::LogLevel::Info);
+    return 0;
+}
--- /dev/null
+++ b/src/process/eventlog.cpp
@@ -0,0 +1,105 @@
+#include "process/eventlog.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+log4cplus::LogLevel toLibraryLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+log4cplus::Logger &rootLogger()
+{
+    static log4cplus::Initializer initializer;
+    static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+    return logger;
+}
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char c) { return c <= ' ' || c == '"' || c == '\\' || c == '=' || c == 0x7f; });
+}
+
+void appendEscaped(std::string &line, std::string_view value)
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    line += '"';
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < ' ' || byte == 0x7f) {
+            line += "\\x";
+            line += Digits[byte >> 4U];
+            line += Digits[byte & 0xfU];
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            line += '\\';
+        }
+        line += c;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void EventLog::initialise(LogLevel level)
+{
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %m%n"));
+    rootLogger().removeAllAppenders();
+    rootLogger().addAppender(appender);
+    rootLogger().setLogLevel(toLibraryLevel(level));
+}
+
+bool EventLog::isEnabled(LogLevel level)
+{
+    return rootLogger().isEnabledFor(toLibraryLevel(level));
+}
+
+void EventLog::write(LogLevel level, Event event, std::initializer_list<LogField> fields)
+{
+    if (!isEnabled(level)) {
+        return;
+    }
+    rootLogger().forcedLog(toLibraryLevel(level), format(event, fields));
+}
+
+std::string EventLog::format(Event event, std::initializer_list<LogField> fields)
+{
+    std::string line = "event=" + std::to_string(static_cast<int>(event)) + " name=" + std::string(nameOf(event));
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        if (needsQuotes(field.value)) {
+            appendEscaped(line, field.value);
+        } else {
+            line += field.value;
+        }
+    }
+    return line;
+}
+
+} // namespace carobjunction
