Add parsers for service configurations and settings

Cause: operators' files were not yet read or checked. Change: ServiceConfigParser and SettingsParser read YAML by key tables over an event-based tree, and report all faults with line, column and field. The tree rejects anchors, tags, more than 16 levels and more than 64 KiB. Values that contradict each other are faults.

--- /dev/null
+++ b/include/carobjunction/version/configfault.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+namespace carobjunction
+{
+
+/** One fault of a configuration or settings file. */
+struct ConfigFault {
+    std::string file;
+    int line = 1; /**< Counted from 1. */
+    int column = 1; /**< Counted from 1. */
+    std::string field; /**< Path of the key, such as `routes[2].deadline`; empty for faults of the whole file. */
+    std::string reason;
+
+    /** @return `FILE:LINE:COLUMN: field: reason` */
+    std::string toString() const;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/settingsparser.cpp
@@ -0,0 +1,220 @@
+#include "process/settingsparser.h"
+
+#include "version/yamlchecker.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr size_t MaxNameLength = 63;
+constexpr size_t MaxSeeds = 64;
+constexpr std::string_view AddressRange = "IP address and port, such as 10.0.0.5:7000 or [fd00::5]:7000";
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxNameLength && std::all_of(text.begin(), text.end(), [](char character) {
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-' || character == '.' || character == '_';
+    });
+}
+
+bool isFileName(std::string_view text)
+{
+    return !text.empty() && text.find('\0') == std::string_view::npos;
+}
+
+bool isListenAddress(std::string_view text)
+{
+    return ValueText::isAddress(text);
+}
+
+/** Peers are told this address, so it must be one that they can connect to. */
+bool isPeerAddress(std::string_view text)
+{
+    return ValueText::isAddress(text) && !ValueText::isUnspecified(text);
+}
+
+bool isRemoteAddress(std::string_view text)
+{
+    return isPeerAddress(text) && ValueText::portOf(text) != 0;
+}
+
+KeyRule<Settings> nameKey(const std::string &name, std::string Settings::*member)
+{
+    return textKey(name, member, "1 to 63 lower-case letters, digits, '-', '.' and '_'", &isName).required();
+}
+
+void readSeeds(YamlChecker &checker, const YamlNode &node, const std::string &field, Settings &settings)
+{
+    if (node.kind != YamlNode::Kind::Sequence) {
+        checker.addFault(node, field, "must be a list of addresses");
+        return;
+    }
+    if (node.children.size() > MaxSeeds) {
+        checker.addFault(node, field, "has more than " + std::to_string(MaxSeeds) + " addresses");
+        return;
+    }
+    std::set<std::string> seen;
+    for (size_t i = 0; i < node.children.size(); ++i) {
+        const YamlNode &item = node.children[i];
+        const std::string itemField = field + "[" + std::to_string(i) + "]";
+        const std::string *text = checker.readText(item, itemField);
+        if (text == nullptr) {
+            continue;
+        }
+        if (!isRemoteAddress(*text)) {
+            checker.addFault(item, itemField, "must be an " + std::string(AddressRange) + ", not '" + ValueText::printable(*text) + "'");
+        } else if (!seen.insert(*text).second) {
+            checker.addFault(item, itemField, "duplicate address");
+        } else {
+            settings.seeds.push_back(*text);
+        }
+    }
+}
+
+const std::vector<KeyRule<TlsFiles>> &tlsRules()
+{
+    static const std::vector<KeyRule<TlsFiles>> rules {
+        textKey("certificate", &TlsFiles::certificate, "the name of a PEM file", &isFileName).required(),
+        textKey("key", &TlsFiles::key, "the name of a PEM file", &isFileName).required(),
+        textKey("authority", &TlsFiles::authority, "the name of a PEM file", &isFileName).required(),
+    };
+    return rules;
+}
+
+std::vector<KeyRule<Settings>> identityRules()
+{
+    const std::string address(AddressRange);
+    return {
+        nameKey("daemon", &Settings::daemon),
+        nameKey("region", &Settings::region),
+        nameKey("data-centre", &Settings::dataCentre),
+        nameKey("service", &Settings::service),
+        textKey("caller-address", &Settings::callerAddress, "an " + address, &isListenAddress).required(),
+        textKey("peer-address", &Settings::peerAddress, "an " + address + ", other than 0.0.0.0 and [::]", &isPeerAddress).required(),
+        textKey("operator-address", &Settings::operatorAddress, "an " + address, &isListenAddress).required(),
+        textKey("store-address", &Settings::storeAddress, "an " + address + ", with a port other than 0", &isRemoteAddress),
+        { { "seeds", "list of text", "", "empty", "at most 64 addresses with ports other than 0" }, &readSeeds },
+        choiceKey("peer-security", &Settings::peerSecurity),
+        sectionKey("tls", &Settings::tls, tlsRules()),
+        choiceKey("log-level", &Settings::logLevel),
+    };
+}
+
+std::vector<KeyRule<Settings>> limitRules()
+{
+    return {
+        integerKey("caller-threads", &Settings::callerThreads, "threads", 1, 4096),
+        integerKey("worker-threads", &Settings::workerThreads, "threads", 1, 1024),
+        sizeKey("max-body", &Settings::maxBodyBytes, 1, 64U << 20U),
+        durationKey("store-timeout", &Settings::storeTimeout, milliseconds(1), seconds(30)),
+        durationKey("announce-timeout", &Settings::announceTimeout, milliseconds(100), minutes(1)),
+        durationKey("gossip-interval", &Settings::gossipInterval, milliseconds(10), minutes(1)),
+        durationKey("suspicion-timeout", &Settings::suspicionTimeout, milliseconds(10), minutes(1)),
+        durationKey("member-forget-time", &Settings::memberForgetTime, seconds(1), hours(24)),
+        durationKey("config-poll-interval", &Settings::configPollInterval, milliseconds(10), minutes(1)),
+        durationKey("claim-batch-delay", &Settings::claimBatchDelay, Duration::zero(), milliseconds(100)),
+        durationKey("region-delay", &Settings::regionDelay, Duration::zero(), seconds(1)),
+    };
+}
+
+const std::vector<KeyRule<Settings>> &settingsRules()
+{
+    static const std::vector<KeyRule<Settings>> rules = [] {
+        std::vector<KeyRule<Settings>> all = identityRules();
+        for (KeyRule<Settings> &rule : limitRules()) {
+            all.push_back(std::move(rule));
+        }
+        return all;
+    }();
+    return rules;
+}
+
+const YamlNode &nodeOf(const YamlNode &root, std::string_view key)
+{
+    const YamlNode *node = root.find(key);
+    return node == nullptr ? root : *node;
+}
+
+void checkPeerSecurity(YamlChecker &checker, const YamlNode &root, const Settings &settings)
+{
+    const bool hasTls = root.find("tls") != nullptr;
+    if (settings.peerSecurity == PeerSecurity::MutualTls && !hasTls) {
+        checker.addFault(root, "tls", "missing, but required unless peer-security is plaintext");
+    }
+    if (settings.peerSecurity == PeerSecurity::Plaintext && hasTls) {
+        checker.addFault(*root.find("tls"), "tls", "contradicts peer-security: plaintext");
+    }
+}
+
+void checkAddresses(YamlChecker &checker, const YamlNode &root, const Settings &settings)
+{
+    const std::array<std::pair<std::string, std::string>, 3> addresses { {
+        { "caller-address", settings.callerAddress },
+        { "peer-address", settings.peerAddress },
+        { "operator-address", settings.operatorAddress },
+    } };
+    std::set<std::string> seen;
+    for (const auto &[key, address] : addresses) {
+        // Port 0 stands for a free port, so it never collides.
+        if (!address.empty() && ValueText::portOf(address) != 0 && !seen.insert(address).second) {
+            checker.addFault(nodeOf(root, key), key, "duplicate: another port of this daemon has the same address");
+        }
+    }
+}
+
+void checkTimes(YamlChecker &checker, const YamlNode &root, const Settings &settings)
+{
+    if (settings.suspicionTimeout <= settings.gossipInterval) {
+        checker.addFault(nodeOf(root, "suspicion-timeout"),
+                         "suspicion-timeout",
+                         "must be longer than gossip-interval (" + ValueText::format(settings.gossipInterval)
+                             + "), or a suspected member has no time to refute");
+    }
+    if (settings.memberForgetTime <= settings.suspicionTimeout) {
+        checker.addFault(nodeOf(root, "member-forget-time"),
+                         "member-forget-time",
+                         "must be longer than suspicion-timeout (" + ValueText::format(settings.suspicionTimeout) + ")");
+    }
+}
+
+} // namespace
+
+SettingsResult SettingsParser::parse(std::string_view text, const std::string &file)
+{
+    SettingsResult result;
+    const auto root = YamlNode::parse(text, file, result.faults);
+    if (!root) {
+        return result;
+    }
+    Settings settings;
+    YamlChecker checker(file, result.faults);
+    readMapping(checker, *root, "", settingsRules(), settings);
+    if (root->kind == YamlNode::Kind::Mapping) {
+        checkPeerSecurity(checker, *root, settings);
+        checkAddresses(checker, *root, settings);
+        checkTimes(checker, *root, settings);
+    }
+    checker.sortFaults();
+    if (result.faults.empty()) {
+        result.settings = std::move(settings);
+    }
+    return result;
+}
+
+std::vector<KeyDescription> SettingsParser::keys()
+{
+    return describe(settingsRules());
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/version/serviceconfigparser.cpp
@@ -0,0 +1,277 @@
+#include <carobjunction/version/serviceconfigparser.h>
+
+#include "version/sha256.h"
+#include "version/yamlchecker.h"
+
+#include <algorithm>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// Each request is compared with the routes in order, so the count bounds the cost of a request.
+constexpr size_t MaxRoutes = 256;
+constexpr size_t MaxPathLength = 512;
+constexpr size_t MaxServiceLength = 63;
+// Paths under this prefix belong to the protocol between daemon and backend server.
+constexpr std::string_view ReservedPath = "/_carob";
+// The Carob-Deadline-Ms header has the same limit.
+constexpr Duration MaxDeadline = minutes(10);
+
+bool isLowerOrDigit(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
+}
+
+/** The name is also a host label and part of a store key. */
+bool isServiceName(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxServiceLength && isLowerOrDigit(text.front()) && isLowerOrDigit(text.back())
+        && std::all_of(text.begin(), text.end(), [](char character) { return isLowerOrDigit(character) || character == '-'; });
+}
+
+bool isMethod(std::string_view text)
+{
+    return text == "*"
+        || (!text.empty() && text.size() <= 16 && std::all_of(text.begin(), text.end(), [](char character) { return character >= 'A' && character <= 'Z'; }));
+}
+
+bool isPath(std::string_view text)
+{
+    return text.starts_with('/') && text.size() <= MaxPathLength
+        && std::all_of(text.begin(), text.end(), [](char character) { return character > 0x20 && character < 0x7f && character != '?' && character != '#'; });
+}
+
+bool isUnder(std::string_view path, std::string_view prefix)
+{
+    return path.starts_with(prefix) && (path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/');
+}
+
+KeyRule<RouteRule> idempotencyKeyRule()
+{
+    return { { "key", "word", "", "optional", "required, optional" },
+             [](YamlChecker &checker, const YamlNode &node, const std::string &field, RouteRule &route) {
+                 const std::string *text = checker.readText(node, field);
+                 if (text != nullptr && *text != "required" && *text != "optional") {
+                     checker.addFault(node, field, "must be one of required, optional, not '" + ValueText::printable(*text) + "'");
+                 } else if (text != nullptr) {
+                     route.keyRequired = *text == "required";
+                 }
+             } };
+}
+
+const std::vector<KeyRule<RouteRule>> &routeRules()
+{
+    static const std::vector<KeyRule<RouteRule>> rules {
+        textKey("method", &RouteRule::method, "an HTTP method in capitals, or '*' in quotes for all", &isMethod).required(),
+        textKey("path", &RouteRule::pathPrefix, "a path of at most 512 characters that starts with / and has no ?, # or spaces", &isPath).required(),
+        booleanKey("idempotent", &RouteRule::idempotent).required(),
+        durationKey("deadline", &RouteRule::deadline, milliseconds(1), MaxDeadline),
+        choiceKey("priority", &RouteRule::priority),
+        integerKey("retries", &RouteRule::maxRetries, "attempts", 0, 8),
+        booleanKey("hedge", &RouteRule::hedge),
+        idempotencyKeyRule(),
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<TargetRules>> &targetRules()
+{
+    static const std::vector<KeyRule<TargetRules>> rules {
+        integerKey("slots", &TargetRules::slots, "requests", 1, 1024),
+        integerKey("queue", &TargetRules::queue, "requests", 0, 4096),
+        durationKey("cold-ramp", &TargetRules::coldRamp, Duration::zero(), minutes(10)),
+        durationKey("drain-limit", &TargetRules::drainLimit, milliseconds(1), MaxDeadline),
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<RoutingRules>> &routingRules()
+{
+    static const std::vector<KeyRule<RoutingRules>> rules {
+        choiceKey("policy", &RoutingRules::policy),
+        integerKey("choices", &RoutingRules::choices, "targets", 1, 16),
+        durationKey("stale-after", &RoutingRules::staleAfter, milliseconds(1), minutes(1)),
+        durationKey("region-cost", &RoutingRules::regionCost, Duration::zero(), seconds(10)),
+        realKey("max-ejected-share", &RoutingRules::maxEjectedShare, "share of the targets", 0, 1),
+        integerKey("max-reroutes", &RoutingRules::maxReroutes, "targets", 0, 16),
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<RetryRules>> &retryRules()
+{
+    static const std::vector<KeyRule<RetryRules>> rules {
+        realKey("budget-share", &RetryRules::budgetShare, "share of fresh requests", 0, 1),
+        realKey("hedge-quantile", &RetryRules::hedgeQuantile, "quantile of latency", 0.5, 0.999),
+    };
+    return rules;
+}
+
+const std::vector<KeyRule<MeasuringBudget>> &measuringRules()
+{
+    static const std::vector<KeyRule<MeasuringBudget>> rules {
+        realKey("probes-per-second", &MeasuringBudget::probesPerSecond, "probes/s per daemon", 0, 1000),
+        realKey("cross-region-bytes-per-second", &MeasuringBudget::crossRegionBytesPerSecond, "bytes/s per daemon", 0, 5000),
+    };
+    return rules;
+}
+
+void readRoutes(YamlChecker &checker, const YamlNode &node, const std::string &field, ServiceConfig &config)
+{
+    if (node.kind != YamlNode::Kind::Sequence || node.children.empty()) {
+        checker.addFault(node, field, "must be a list of at least one route");
+        return;
+    }
+    if (node.children.size() > MaxRoutes) {
+        checker.addFault(node, field, "has more than " + std::to_string(MaxRoutes) + " routes");
+        return;
+    }
+    for (size_t i = 0; i < node.children.size(); ++i) {
+        RouteRule route;
+        readMapping(checker, node.children[i], field + "[" + std::to_string(i) + "]", routeRules(), route);
+        config.routes.push_back(std::move(route));
+    }
+}
+
+KeyRule<ServiceConfig> routesKey()
+{
+    return { { "routes", "list of mappings", "", "required", "1 to 256 routes" }, &readRoutes, withPrefix("routes[].", describe(routeRules())) };
+}
+
+const std::vector<KeyRule<ServiceConfig>> &serviceRules()
+{
+    static const std::vector<KeyRule<ServiceConfig>> rules {
+        textKey("service", &ServiceConfig::service, "1 to 63 lower-case letters, digits and inner hyphens", &isServiceName).required(),
+        sectionKey("targets", &ServiceConfig::targets, targetRules()),
+        sectionKey("routing", &ServiceConfig::routing, routingRules()),
+        sectionKey("retries", &ServiceConfig::retries, retryRules()),
+        sectionKey("measuring", &ServiceConfig::measuring, measuringRules()),
+        groupKey<ServiceConfig>("keys", { durationKey("window", &ServiceConfig::keyWindow, minutes(1), hours(168)) }),
+        groupKey<ServiceConfig>("limits", { sizeKey("body", &ServiceConfig::maxBodyBytes, 1, 64U << 20U) }),
+        routesKey(),
+    };
+    return rules;
+}
+
+/** Checks the values of one route against each other and against the service's. */
+class RouteConsistency
+{
+public:
+    RouteConsistency(YamlChecker &checker, const ServiceConfig &config, const YamlNode &routes) : m_checker(checker), m_config(config), m_routes(routes)
+    {
+    }
+
+    void check(size_t index)
+    {
+        const RouteRule &route = m_config.routes[index];
+        const bool knowsIdempotent = isBoolean(index, "idempotent");
+        if (knowsIdempotent && !route.idempotent && route.hedge) {
+            fault(index, "hedge", "contradicts idempotent: no; a hedge could run the request twice");
+        }
+        if (knowsIdempotent && !route.idempotent && route.maxRetries > 0) {
+            fault(index, "retries", "contradicts idempotent: no; a retry could run the request twice");
+        }
+        if (route.idempotent && route.keyRequired) {
+            fault(index, "key", "contradicts idempotent: yes; keys are for requests that must not run twice");
+        }
+        if (m_config.retries.budgetShare == 0 && route.idempotent && (route.hedge || route.maxRetries > 0)) {
+            fault(index, route.hedge ? "hedge" : "retries", "contradicts retries.budget-share: 0, which allows no further attempts");
+        }
+        if (route.deadline > m_config.targets.drainLimit) {
+            // A drain that ends before the deadline would cut off a request in progress.
+            fault(index,
+                  "deadline",
+                  "is " + ValueText::format(route.deadline) + ", longer than targets.drain-limit (" + ValueText::format(m_config.targets.drainLimit)
+                      + "), so a leaving target could interrupt the request");
+        }
+        if (isUnder(route.pathPrefix, ReservedPath)) {
+            fault(index, "path", "is reserved: paths under /_carob belong to the protocol with the backend server");
+        }
+        checkReachable(index);
+    }
+
+private:
+    void checkReachable(size_t index)
+    {
+        const RouteRule &route = m_config.routes[index];
+        if (route.method.empty() || route.pathPrefix.empty()) {
+            return;
+        }
+        for (size_t earlier = 0; earlier < index; ++earlier) {
+            const RouteRule &other = m_config.routes[earlier];
+            if (other.pathPrefix.empty() || (other.method != "*" && other.method != route.method) || !isUnder(route.pathPrefix, other.pathPrefix)) {
+                continue;
+            }
+            const std::string line = std::to_string(m_routes.children[earlier].line);
+            const bool isSame = other.method == route.method && other.pathPrefix == route.pathPrefix;
+            fault(index, "path", isSame ? "duplicate of the route at line " + line : "never reached: the route at line " + line + " matches first");
+            return;
+        }
+    }
+
+    bool isBoolean(size_t index, std::string_view key) const
+    {
+        const YamlNode *node = m_routes.children[index].find(key);
+        return node != nullptr && ValueText::parseBoolean(node->scalar).has_value();
+    }
+
+    void fault(size_t index, const std::string &key, const std::string &reason)
+    {
+        const YamlNode &route = m_routes.children[index];
+        const YamlNode *node = route.find(key);
+        m_checker.addFault(node == nullptr ? route : *node, "routes[" + std::to_string(index) + "]." + key, reason);
+    }
+
+    YamlChecker &m_checker;
+    const ServiceConfig &m_config;
+    const YamlNode &m_routes;
+};
+
+void checkConsistency(YamlChecker &checker, const YamlNode &root, const ServiceConfig &config)
+{
+    const YamlNode *routes = root.find("routes");
+    if (routes == nullptr) {
+        return;
+    }
+    RouteConsistency consistency(checker, config, *routes);
+    for (size_t i = 0; i < config.routes.size(); ++i) {
+        consistency.check(i);
+    }
+}
+
+} // namespace
+
+ServiceConfigResult ServiceConfigParser::parse(std::string_view text, const std::string &file, uint64_t version)
+{
+    ServiceConfigResult result;
+    const auto root = YamlNode::parse(text, file, result.faults);
+    if (!root) {
+        return result;
+    }
+    auto config = std::make_shared<ServiceConfig>();
+    YamlChecker checker(file, result.faults);
+    readMapping(checker, *root, "", serviceRules(), *config);
+    checkConsistency(checker, *root, *config);
+    checker.sortFaults();
+    if (result.faults.empty()) {
+        config->version = version;
+        config->hash = sha256Hex(text);
+        result.config = std::move(config);
+    }
+    return result;
+}
+
+std::vector<KeyDescription> ServiceConfigParser::keys()
+{
+    return describe(serviceRules());
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/version/yamlchecker.cpp
@@ -0,0 +1,65 @@
+#include "version/yamlchecker.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace carobjunction
+{
+
+YamlChecker::YamlChecker(std::string file, std::vector<ConfigFault> &faults) : m_file(std::move(file)), m_faults(faults)
+{
+}
+
+void YamlChecker::addFault(const YamlNode &node, const std::string &field, const std::string &reason)
+{
+    m_faults.push_back({ m_file, node.line, node.column, ValueText::printable(field), reason });
+}
+
+const std::string *YamlChecker::readText(const YamlNode &node, const std::string &field)
+{
+    if (node.kind == YamlNode::Kind::Null) {
+        addFault(node, field, "has no value");
+        return nullptr;
+    }
+    if (node.kind != YamlNode::Kind::Scalar) {
+        addFault(node, field, "must be a single value");
+        return nullptr;
+    }
+    return &node.scalar;
+}
+
+const std::string *YamlChecker::readPlain(const YamlNode &node, const std::string &field, std::string_view type)
+{
+    const std::string *text = readText(node, field);
+    if (text != nullptr && node.isQuoted) {
+        addFault(node, field, "must be a " + std::string(type) + " without quotes");
+        return nullptr;
+    }
+    return text;
+}
+
+void YamlChecker::sortFaults()
+{
+    std::stable_sort(m_faults.begin(), m_faults.end(), [](const ConfigFault &left, const ConfigFault &right) {
+        return std::tie(left.line, left.column) < std::tie(right.line, right.column);
+    });
+}
+
+std::vector<KeyDescription> withPrefix(const std::string &prefix, std::vector<KeyDescription> inner)
+{
+    for (KeyDescription &description : inner) {
+        description.path.insert(0, prefix);
+    }
+    return inner;
+}
+
+std::string ConfigFault::toString() const
+{
+    std::string text = file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": ";
+    if (!field.empty()) {
+        text += field + ": ";
+    }
+    return text + reason;
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/version/yamlchecker.h
@@ -0,0 +1,258 @@
+#pragma once
+
+#include <carobjunction/process/enumnames.h>
+#include <carobjunction/version/configfault.h>
+#include <carobjunction/version/keydescription.h>
+
+#include "version/valuetext.h"
+#include "version/yamlnode.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace carobjunction
+{
+
+/** Collects the faults of one file while its tree is read. Reading goes on after a fault. */
+class YamlChecker
+{
+public:
+    /**
+     * @param file  name used in faults
+     * @param faults  receives the faults; outlives this object
+     */
+    YamlChecker(std::string file, std::vector<ConfigFault> &faults);
+
+    /** Records a fault at the position of @p node. */
+    void addFault(const YamlNode &node, const std::string &field, const std::string &reason);
+
+    /** @return the scalar's text, or null after recording a fault */
+    const std::string *readText(const YamlNode &node, const std::string &field);
+
+    /** Like readText(), but rejects quoted scalars. */
+    const std::string *readPlain(const YamlNode &node, const std::string &field, std::string_view type);
+
+    /** Sorts the faults by position. */
+    void sortFaults();
+
+private:
+    std::string m_file;
+    std::vector<ConfigFault> &m_faults;
+};
+
+/**
+ * One key of a mapping: its description, and how its value is read into an object.
+ * @tparam Owner  type of the object that holds the value
+ */
+template<typename Owner>
+struct KeyRule {
+    KeyDescription description; /**< The path is the key's own name. */
+    std::function<void(YamlChecker &, const YamlNode &, const std::string &, Owner &)> read;
+    std::vector<KeyDescription> nested; /**< Keys of the mapping or mappings that are the value; paths start with this key's name. */
+
+    bool isRequired() const
+    {
+        return description.defaultValue == "required";
+    }
+
+    /** Makes the key required. */
+    KeyRule required() &&
+    {
+        description.defaultValue = "required";
+        return std::move(*this);
+    }
+};
+
+/** Reads a mapping by its rules and records unknown, duplicate and missing keys. */
+template<typename Owner>
+void readMapping(YamlChecker &checker, const YamlNode &node, const std::string &path, const std::vector<KeyRule<Owner>> &rules, Owner &owner)
+{
+    if (node.kind != YamlNode::Kind::Mapping) {
+        checker.addFault(node, path, "must be a mapping of keys to values");
+        return;
+    }
+    const std::string prefix = path.empty() ? "" : path + ".";
+    std::set<std::string> seen;
+    for (size_t i = 0; i + 1 < node.children.size(); i += 2) {
+        const YamlNode &key = node.children[i];
+        if (key.kind != YamlNode::Kind::Scalar) {
+            checker.addFault(key, path, "a key must be a word");
+            continue;
+        }
+        const std::string field = prefix + key.scalar;
+        if (!seen.insert(key.scalar).second) {
+            checker.addFault(key, field, "duplicate key");
+            continue;
+        }
+        const auto rule
+            = std::find_if(rules.begin(), rules.end(), [&key](const KeyRule<Owner> &candidate) { return candidate.description.path == key.scalar; });
+        if (rule == rules.end()) {
+            checker.addFault(key, field, "unknown key");
+            continue;
+        }
+        const YamlNode &value = node.children[i + 1];
+        if (value.kind == YamlNode::Kind::Null) {
+            // yaml-cpp marks a value left out with the position of the next token, so the key's position is used.
+            checker.addFault(key, field, "has no value");
+        } else {
+            rule->read(checker, value, field, owner);
+        }
+    }
+    for (const KeyRule<Owner> &rule : rules) {
+        if (rule.isRequired() && seen.count(rule.description.path) == 0) {
+            checker.addFault(node, prefix + rule.description.path, "missing, but required");
+        }
+    }
+}
+
+/** @return the descriptions of all rules and of the keys nested in them */
+template<typename Owner>
+std::vector<KeyDescription> describe(const std::vector<KeyRule<Owner>> &rules)
+{
+    std::vector<KeyDescription> result;
+    for (const KeyRule<Owner> &rule : rules) {
+        result.push_back(rule.description);
+        result.insert(result.end(), rule.nested.begin(), rule.nested.end());
+    }
+    return result;
+}
+
+/** @return @p inner with all paths under @p prefix */
+std::vector<KeyDescription> withPrefix(const std::string &prefix, std::vector<KeyDescription> inner);
+
+/** Key with text that @p isValid accepts. */
+template<typename Owner>
+KeyRule<Owner> textKey(const std::string &name, std::string Owner::*member, const std::string &range, bool (*isValid)(std::string_view))
+{
+    return { { name, "text", "", "empty", range }, [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
+                const std::string *text = checker.readText(node, field);
+                if (text != nullptr && !isValid(*text)) {
+                    checker.addFault(node, field, "must be " + range + ", not '" + ValueText::printable(*text) + "'");
+                } else if (text != nullptr) {
+                    owner.*member = *text;
+                }
+            } };
+}
+
+namespace detail
+{
+
+/** Key with an unquoted value that has a smallest and a largest value. */
+template<typename Owner, typename Value, typename Bound, typename Parse, typename Format>
+KeyRule<Owner> boundedKey(KeyDescription description, Value Owner::*member, Bound smallest, Bound largest, Parse parse, Format format)
+{
+    description.defaultValue = format(static_cast<Bound>(Owner {}.*member));
+    description.range = format(smallest) + " to " + format(largest);
+    const auto read = [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
+        const std::string *text = checker.readPlain(node, field, description.type);
+        if (text == nullptr) {
+            return;
+        }
+        const auto value = parse(*text);
+        if (!value) {
+            checker.addFault(node, field, "must be a " + description.type + ", not '" + ValueText::printable(*text) + "'");
+        } else if (*value < smallest || *value > largest) {
+            checker.addFault(node, field, "must be from " + format(smallest) + " to " + format(largest) + ", not " + ValueText::printable(*text));
+        } else {
+            owner.*member = static_cast<Value>(*value);
+        }
+    };
+    return { description, read };
+}
+
+} // namespace detail
+
+/** Key with a whole number. */
+template<typename Owner>
+KeyRule<Owner> integerKey(const std::string &name, uint32_t Owner::*member, const std::string &unit, uint64_t smallest, uint64_t largest)
+{
+    return detail::boundedKey<Owner>(
+        { name, "whole number", unit }, member, smallest, largest, &ValueText::parseInteger, [](uint64_t value) { return std::to_string(value); });
+}
+
+/** Key with a decimal number. */
+template<typename Owner>
+KeyRule<Owner> realKey(const std::string &name, double Owner::*member, const std::string &unit, double smallest, double largest)
+{
+    return detail::boundedKey<Owner>(
+        { name, "number", unit }, member, smallest, largest, &ValueText::parseReal, [](double value) { return ValueText::format(value); });
+}
+
+/** Key with a time span. */
+template<typename Owner>
+KeyRule<Owner> durationKey(const std::string &name, Duration Owner::*member, Duration smallest, Duration largest)
+{
+    return detail::boundedKey<Owner>({ name, "duration", "us, ms, s, min or h" }, member, smallest, largest, &ValueText::parseDuration, [](Duration value) {
+        return ValueText::format(value);
+    });
+}
+
+/** Key with a size in bytes. */
+template<typename Owner>
+KeyRule<Owner> sizeKey(const std::string &name, uint64_t Owner::*member, uint64_t smallest, uint64_t largest)
+{
+    return detail::boundedKey<Owner>({ name, "size", "bytes, KiB or MiB" }, member, smallest, largest, &ValueText::parseSize, &ValueText::formatSize);
+}
+
+/** Key with yes or no. */
+template<typename Owner>
+KeyRule<Owner> booleanKey(const std::string &name, bool Owner::*member)
+{
+    return { { name, "boolean", "", Owner {}.*member ? "yes" : "no", "yes or no" },
+             [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
+                 const std::string *text = checker.readPlain(node, field, "boolean");
+                 const auto value = text == nullptr ? std::nullopt : ValueText::parseBoolean(*text);
+                 if (value) {
+                     owner.*member = *value;
+                 } else if (text != nullptr) {
+                     checker.addFault(node, field, "must be yes or no, not '" + ValueText::printable(*text) + "'");
+                 }
+             } };
+}
+
+/** Key with one of the names of an enumeration. */
+template<typename Owner, typename Enum>
+KeyRule<Owner> choiceKey(const std::string &name, Enum Owner::*member)
+{
+    std::string range;
+    for (const auto &[value, valueName] : EnumNames<Enum>::Table) {
+        range += (range.empty() ? "" : ", ") + std::string(valueName);
+    }
+    return { { name, "word", "", std::string(nameOf(Owner {}.*member)), range },
+             [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
+                 const std::string *text = checker.readText(node, field);
+                 const auto value = text == nullptr ? std::nullopt : fromName<Enum>(*text);
+                 if (value) {
+                     owner.*member = *value;
+                 } else if (text != nullptr) {
+                     checker.addFault(node, field, "must be one of " + range + ", not '" + ValueText::printable(*text) + "'");
+                 }
+             } };
+}
+
+/** Key with a mapping that is read into a member. */
+template<typename Owner, typename Section>
+KeyRule<Owner> sectionKey(const std::string &name, Section Owner::*member, const std::vector<KeyRule<Section>> &rules)
+{
+    return { { name, "mapping", "", "see its keys", "" },
+             [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
+                 readMapping(checker, node, field, rules, owner.*member);
+             },
+             withPrefix(name + ".", describe(rules)) };
+}
+
+/** Key with a mapping whose values are members of @p Owner itself. */
+template<typename Owner>
+KeyRule<Owner> groupKey(const std::string &name, const std::vector<KeyRule<Owner>> &rules)
+{
+    return { { name, "mapping", "", "see its keys", "" },
+             [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) { readMapping(checker, node, field, rules, owner); },
+             withPrefix(name + ".", describe(rules)) };
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/version/yamlnode.cpp
@@ -0,0 +1,194 @@
+#include "version/yamlnode.h"
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr size_t MaxTextBytes = 64U << 10U;
+// The formats need a depth of 4. yaml-cpp recurses once a level, so the limit also bounds the stack.
+constexpr size_t MaxDepth = 16;
+
+/** Ends yaml-cpp's parsing at a node that the formats never use. */
+class LimitExceeded : public YAML::ParserException
+{
+public:
+    using ParserException::ParserException;
+};
+
+/** Builds the tree from the events of yaml-cpp's parser. */
+class TreeBuilder : public YAML::EventHandler
+{
+public:
+    YamlNode takeRoot()
+    {
+        return std::move(m_root);
+    }
+
+    void OnDocumentStart(const YAML::Mark & /*mark*/) override
+    {
+    }
+
+    void OnDocumentEnd() override
+    {
+    }
+
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override
+    {
+        rejectAnchor(mark, anchor);
+        add(makeNode(YamlNode::Kind::Null, mark));
+    }
+
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override
+    {
+        throw LimitExceeded(mark, "aliases are not supported");
+    }
+
+    void OnScalar(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor, const std::string &value) override
+    {
+        rejectAnchor(mark, anchor);
+        rejectTag(mark, tag);
+        YamlNode node = makeNode(YamlNode::Kind::Scalar, mark);
+        node.isQuoted = tag == "!";
+        node.scalar = value;
+        add(std::move(node));
+    }
+
+    void OnSequenceStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor, YAML::EmitterStyle::value /*style*/) override
+    {
+        open(YamlNode::Kind::Sequence, mark, tag, anchor);
+    }
+
+    void OnSequenceEnd() override
+    {
+        close();
+    }
+
+    void OnMapStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor, YAML::EmitterStyle::value /*style*/) override
+    {
+        open(YamlNode::Kind::Mapping, mark, tag, anchor);
+    }
+
+    void OnMapEnd() override
+    {
+        close();
+    }
+
+private:
+    static YamlNode makeNode(YamlNode::Kind kind, const YAML::Mark &mark)
+    {
+        YamlNode node;
+        node.kind = kind;
+        // Marks count from 0, and yaml-cpp marks some implicit nodes with -1.
+        node.line = std::max(mark.line, 0) + 1;
+        node.column = std::max(mark.column, 0) + 1;
+        return node;
+    }
+
+    static void rejectAnchor(const YAML::Mark &mark, YAML::anchor_t anchor)
+    {
+        if (anchor != YAML::NullAnchor) {
+            throw LimitExceeded(mark, "anchors are not supported");
+        }
+    }
+
+    static void rejectTag(const YAML::Mark &mark, const std::string &tag)
+    {
+        // "?" marks a plain node, "!" a quoted scalar.
+        if (!tag.empty() && tag != "?" && tag != "!") {
+            throw LimitExceeded(mark, "tags are not supported");
+        }
+    }
+
+    void open(YamlNode::Kind kind, const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor)
+    {
+        rejectAnchor(mark, anchor);
+        rejectTag(mark, tag);
+        if (m_open.size() >= MaxDepth) {
+            throw LimitExceeded(mark, "nested more than " + std::to_string(MaxDepth) + " levels deep");
+        }
+        m_open.push_back(makeNode(kind, mark));
+    }
+
+    void close()
+    {
+        YamlNode node = std::move(m_open.back());
+        m_open.pop_back();
+        add(std::move(node));
+    }
+
+    void add(YamlNode node)
+    {
+        if (m_open.empty()) {
+            m_root = std::move(node);
+        } else {
+            m_open.back().children.push_back(std::move(node));
+        }
+    }
+
+    YamlNode m_root;
+    std::vector<YamlNode> m_open; /**< Sequences and mappings that have not ended, outermost first. */
+};
+
+std::optional<YamlNode> parseDocument(const std::string &text, const std::string &file, std::vector<ConfigFault> &faults)
+{
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    TreeBuilder builder;
+    if (!parser.HandleNextDocument(builder)) {
+        faults.push_back({ file, 1, 1, "", "the file is empty" });
+        return std::nullopt;
+    }
+    YamlNode root = builder.takeRoot();
+    TreeBuilder rest;
+    if (parser.HandleNextDocument(rest)) {
+        const YamlNode second = rest.takeRoot();
+        faults.push_back({ file, second.line, second.column, "", "the file has more than one document" });
+        return std::nullopt;
+    }
+    return root;
+}
+
+} // namespace
+
+const YamlNode *YamlNode::find(std::string_view name) const
+{
+    if (kind != Kind::Mapping) {
+        return nullptr;
+    }
+    for (size_t i = 0; i + 1 < children.size(); i += 2) {
+        if (children[i].kind == Kind::Scalar && children[i].scalar == name) {
+            return &children[i + 1];
+        }
+    }
+    return nullptr;
+}
+
+std::optional<YamlNode> YamlNode::parse(std::string_view text, const std::string &file, std::vector<ConfigFault> &faults)
+{
+    if (text.size() > MaxTextBytes) {
+        faults.push_back({ file, 1, 1, "", "the file is larger than " + std::to_string(MaxTextBytes) + " bytes" });
+        return std::nullopt;
+    }
+    try {
+        return parseDocument(std::string(text), file, faults);
+    } catch (const YAML::Exception &error) {
+        const bool isSyntax = dynamic_cast<const LimitExceeded *>(&error) == nullptr;
+        faults.push_back({ file, std::max(error.mark.line, 0) + 1, std::max(error.mark.column, 0) + 1, "", (isSyntax ? "invalid YAML: " : "") + error.msg });
+    } catch (const std::exception &error) {
+        // yaml-cpp lets standard exceptions through for some malformed escapes and directives.
+        faults.push_back({ file, 1, 1, "", std::string("invalid YAML: ") + error.what() });
+    }
+    return std::nullopt;
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/tests/version/serviceconfigparsertest.cpp
@@ -0,0 +1,180 @@
+#include <carobjunction/version/serviceconfigparser.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace carobjunction;
+
+namespace
+{
+
+std::string readFile(const std::filesystem::path &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** Faults as `LINE field`, in order. */
+std::vector<std::string> places(const std::vector<ConfigFault> &faults)
+{
+    std::vector<std::string> result;
+    for (const ConfigFault &fault : faults) {
+        result.push_back(std::to_string(fault.line) + " " + fault.field);
+    }
+    return result;
+}
+
+std::vector<std::string> faultsOf(const std::string &text)
+{
+    return places(ServiceConfigParser::parse(text, "f.yaml").faults);
+}
+
+using Places = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("ServiceConfigParser.examples.areValid")
+{
+    // Guards against examples that the parser no longer accepts.
+    size_t count = 0;
+    for (const auto &entry : std::filesystem::recursive_directory_iterator(std::string(CAROBJUNCTION_SOURCE_DIR) + "/examples")) {
+        if (entry.path().extension() != ".yaml" || entry.path().stem() == "settings") {
+            continue;
+        }
+        ++count;
+        const auto result = ServiceConfigParser::parse(readFile(entry.path()), entry.path().filename().string(), 7);
+        INFO(entry.path() << (result.faults.empty() ? "" : result.faults.front().toString()));
+        REQUIRE(result.config != nullptr);
+        CHECK(result.config->service == entry.path().stem());
+        CHECK(result.config->targets.slots == 9);
+        CHECK(result.config->version == 7);
+        CHECK(result.config->hash.size() == 64);
+    }
+    CHECK(count >= 4);
+}
+
+TEST_CASE("ServiceConfigParser.fiveFaults.areReportedAsFive")
+{
+    // Guards against reporting only the first fault, or a wrong place.
+    const auto result = ServiceConfigParser::parse("service: Ordering\n"
+                                                   "targets: { slots: many, colour: red }\n"
+                                                   "retries: { budget-share: 2 }\n"
+                                                   "routes:\n"
+                                                   "  - { method: POST, path: /orders, idempotent: no, hedge: true }\n",
+                                                   "f.yaml");
+    CHECK(result.config == nullptr);
+    CHECK(places(result.faults) == Places { "1 service", "2 targets.slots", "2 targets.colour", "3 retries.budget-share", "5 routes[0].hedge" });
+    REQUIRE(result.faults.size() == 5);
+    CHECK(result.faults[1].toString() == "f.yaml:2:19: targets.slots: must be a whole number, not 'many'");
+}
+
+TEST_CASE("ServiceConfigParser.contradictions.areFaults")
+{
+    // Guards against values that are valid alone, and unsafe or without effect together.
+    const std::string head = "service: s\nroutes:\n";
+    CHECK(faultsOf(head + "- {method: POST, path: /a, idempotent: no, retries: 1}\n") == Places { "3 routes[0].retries" });
+    CHECK(faultsOf(head + "- {method: GET, path: /a, idempotent: yes, key: required}\n") == Places { "3 routes[0].key" });
+    CHECK(faultsOf(head + "- {method: GET, path: /a, idempotent: yes, deadline: 31s}\n") == Places { "3 routes[0].deadline" });
+    CHECK(faultsOf(head + "- {method: GET, path: /_carob/load, idempotent: yes}\n") == Places { "3 routes[0].path" });
+    CHECK(faultsOf("retries: {budget-share: 0}\n" + head + "- {method: GET, path: /a, idempotent: yes, hedge: yes}\n") == Places { "4 routes[0].hedge" });
+    // The second and the third route are shadowed; the fourth is not under /a.
+    CHECK(faultsOf(head
+                   + "- {method: '*', path: /a, idempotent: no}\n- {method: '*', path: /a, idempotent: no}\n"
+                     "- {method: GET, path: /a/b, idempotent: yes}\n- {method: GET, path: /ab, idempotent: yes}\n")
+          == Places { "4 routes[1].path", "5 routes[2].path" });
+}
+
+TEST_CASE("ServiceConfigParser.missingDuplicateAndMistypedKeys.areFaults")
+{
+    // Guards against silently taking a default or the last of two values.
+    const std::string route = "routes: [{method: GET, path: /a, idempotent: yes}]\n";
+    CHECK(faultsOf("{}") == Places { "1 service", "1 routes" });
+    CHECK(faultsOf("service: s\nservice: t\n" + route) == Places { "2 service" });
+    CHECK(faultsOf("service: s\nroutes: [{method: GET, path: /a}]\n") == Places { "2 routes[0].idempotent" });
+    CHECK(faultsOf("service: s\nroutes: []\n") == Places { "2 routes" });
+    CHECK(faultsOf("service:\ntargets: 7\n" + route) == Places { "1 service", "2 targets" });
+    CHECK(faultsOf("service: s\nkeys: {window: 24}\n" + route) == Places { "2 keys.window" });
+    CHECK(faultsOf("service: s\ntargets: {slots: '9', queue: -1}\n" + route) == Places { "2 targets.slots", "2 targets.queue" });
+    CHECK(faultsOf("service: s\ntargets: {drain-limit: 99999999999999999999h}\n" + route) == Places { "2 targets.drain-limit" });
+}
+
+TEST_CASE("ServiceConfigParser.hostileDocuments.areRejectedWithinLimits")
+{
+    // Guards against stack exhaustion, alias expansion and unbounded input.
+    CHECK(faultsOf(std::string(60000, '[')) == Places { "1 " });
+    CHECK(faultsOf(std::string(60000, '{')) == Places { "1 " });
+    std::string nested = "a: ";
+    for (int i = 0; i < 2000; ++i) {
+        nested += "- ";
+    }
+    CHECK(faultsOf(nested).size() == 1);
+    CHECK(faultsOf("service: &a s\nroutes: *a\n") == Places { "1 " });
+    CHECK(faultsOf("service: !!str s\n") == Places { "1 " });
+    CHECK(faultsOf("service: s\n---\nservice: t\n") == Places { "3 " });
+    CHECK(faultsOf(std::string(65537, ' ')) == Places { "1 " });
+    CHECK(faultsOf("") == Places { "1 " });
+    CHECK(faultsOf("service: [s\n").size() == 1);
+}
+
+TEST_CASE("ServiceConfigParser.randomBytes.neverThrow")
+{
+    // Guards against exceptions and crashes inside yaml-cpp that reach the daemon.
+    CHECK(rc::check([](const std::string &bytes) {
+        const auto result = ServiceConfigParser::parse(bytes, "f.yaml");
+        RC_ASSERT((result.config == nullptr) != result.faults.empty());
+    }));
+    CHECK(rc::check([] {
+        // Pieces of YAML give trees, and syntax faults deep in yaml-cpp, far more often than bytes do.
+        const auto piece = rc::gen::element<std::string>("service",
+                                                         "routes",
+                                                         "key",
+                                                         ": ",
+                                                         "- ",
+                                                         "\n",
+                                                         "\n  ",
+                                                         "{",
+                                                         "}",
+                                                         "[",
+                                                         "]",
+                                                         ",",
+                                                         "'",
+                                                         "\"",
+                                                         "\\x",
+                                                         "\\u12",
+                                                         "&a ",
+                                                         "*a",
+                                                         "!t ",
+                                                         "!<",
+                                                         "%YAML 9",
+                                                         "---",
+                                                         "...",
+                                                         "? ",
+                                                         "| ",
+                                                         ">-",
+                                                         "#",
+                                                         "~",
+                                                         "\t",
+                                                         "\xff",
+                                                         "\xef\xbb\xbf");
+        std::string text;
+        for (const std::string &part : *rc::gen::container<std::vector<std::string>>(piece)) {
+            text += part;
+        }
+        const auto result = ServiceConfigParser::parse(text, "f.yaml");
+        RC_ASSERT((result.config == nullptr) != result.faults.empty());
+    }));
+    const std::string valid = readFile(std::string(CAROBJUNCTION_SOURCE_DIR) + "/examples/epistrofi/ward-desk.yaml");
+    CHECK(rc::check([&valid] {
+        // A valid file with a part replaced reaches the checks behind the syntax.
+        const auto begin = *rc::gen::inRange<size_t>(0, valid.size());
+        const auto length = *rc::gen::inRange<size_t>(0, 40);
+        const auto result = ServiceConfigParser::parse(std::string(valid).replace(begin, length, *rc::gen::arbitrary<std::string>()), "f.yaml");
+        RC_ASSERT((result.config == nullptr) != result.faults.empty());
+    }));
+}
