--- /dev/null
+++ b/src/version/linediff.cpp
@@ -0,0 +1,99 @@
+#include "version/linediff.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+using Lines = std::vector<std::string_view>;
+
+// Bounds the table of the common subsequence to 8 MB. Larger parts are shown as replaced completely.
+constexpr size_t MaxTableCells = 2U << 20U;
+
+Lines split(std::string_view text)
+{
+    Lines lines;
+    while (!text.empty()) {
+        const size_t end = text.find('\n');
+        lines.push_back(text.substr(0, end));
+        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    }
+    return lines;
+}
+
+/** Lengths of the longest common subsequences of all pairs of suffixes. */
+class SuffixTable
+{
+public:
+    SuffixTable(const Lines &before, const Lines &after) : m_columns(after.size() + 1), m_lengths((before.size() + 1) * m_columns)
+    {
+        for (size_t i = before.size(); i-- > 0;) {
+            for (size_t j = after.size(); j-- > 0;) {
+                m_lengths[i * m_columns + j] = before[i] == after[j] ? at(i + 1, j + 1) + 1 : std::max(at(i + 1, j), at(i, j + 1));
+            }
+        }
+    }
+
+    uint32_t at(size_t beforeIndex, size_t afterIndex) const
+    {
+        return m_lengths[beforeIndex * m_columns + afterIndex];
+    }
+
+private:
+    size_t m_columns;
+    std::vector<uint32_t> m_lengths;
+};
+
+void removeCommonEnds(Lines &before, Lines &after)
+{
+    const auto [beforeStart, afterStart] = std::mismatch(before.begin(), before.end(), after.begin(), after.end());
+    before.erase(before.begin(), beforeStart);
+    after.erase(after.begin(), afterStart);
+    while (!before.empty() && !after.empty() && before.back() == after.back()) {
+        before.pop_back();
+        after.pop_back();
+    }
+}
+
+std::string marked(char mark, std::string_view line)
+{
+    return mark + std::string(line);
+}
+
+} // namespace
+
+std::vector<std::string> lineDiff(std::string_view before, std::string_view after)
+{
+    Lines oldLines = split(before);
+    Lines newLines = split(after);
+    removeCommonEnds(oldLines, newLines);
+    std::vector<std::string> result;
+    size_t i = 0;
+    size_t j = 0;
+    if ((oldLines.size() + 1) * (newLines.size() + 1) <= MaxTableCells) {
+        const SuffixTable table(oldLines, newLines);
+        while (i < oldLines.size() && j < newLines.size()) {
+            if (oldLines[i] == newLines[j]) {
+                ++i;
+                ++j;
+            } else if (table.at(i + 1, j) >= table.at(i, j + 1)) {
+                result.push_back(marked('-', oldLines[i++]));
+            } else {
+                result.push_back(marked('+', newLines[j++]));
+            }
+        }
+    }
+    for (; i < oldLines.size(); ++i) {
+        result.push_back(marked('-', oldLines[i]));
+    }
+    for (; j < newLines.size(); ++j) {
+        result.push_back(marked('+', newLines[j]));
+    }
+    return result;
+}
+
+} // namespace carobjunction
--- a/tests/version/serviceconfigparsertest.cpp
+++ b/tests/version/serviceconfigparsertest.cpp
@@ -178,3 +178,69 @@
         RC_ASSERT((result.config == nullptr) != result.faults.empty());
     }));
 }
+
+namespace
+{
+
+std::string yesNo(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+/** The configuration as YAML, with every key written. */
+std::string toYaml(const ServiceConfig &config)
+{
+    std::ostringstream text;
+    text << "service: " << config.service << "\ntargets: {slots: " << config.targets.slots << ", queue: " << config.targets.queue
+         << ", cold-ramp: " << config.targets.coldRamp / std::chrono::milliseconds(1)
+         << "ms, drain-limit: 10min}\nrouting: {policy: " << nameOf(config.routing.policy) << ", choices: " << config.routing.choices
+         << ", max-ejected-share: " << config.routing.maxEjectedShare << "}\nlimits: {body: " << config.maxBodyBytes << "}\nroutes:\n";
+    for (const RouteRule &route : config.routes) {
+        text << "- {method: " << route.method << ", path: " << route.pathPrefix << ", idempotent: " << yesNo(route.idempotent)
+             << ", deadline: " << route.deadline / std::chrono::milliseconds(1) << "ms, priority: " << nameOf(route.priority)
+             << ", retries: " << route.maxRetries << ", hedge: " << yesNo(route.hedge) << ", key: " << (route.keyRequired ? "required" : "optional") << "}\n";
+    }
+    return text.str();
+}
+
+ServiceConfig randomConfig()
+{
+    ServiceConfig config;
+    config.service = "s" + std::to_string(*rc::gen::inRange(0, 99));
+    config.targets.slots = *rc::gen::inRange(1U, 1025U);
+    config.targets.queue = *rc::gen::inRange(0U, 4097U);
+    config.targets.coldRamp = std::chrono::milliseconds(*rc::gen::inRange(0, 600001));
+    config.targets.drainLimit = std::chrono::minutes(10);
+    config.routing.policy = *rc::gen::elementOf(std::vector { PolicyKind::Random, PolicyKind::TwoChoices, PolicyKind::Predicted });
+    config.routing.choices = *rc::gen::inRange(1U, 17U);
+    config.routing.maxEjectedShare = *rc::gen::inRange(0, 9) / 8.0;
+    config.maxBodyBytes = *rc::gen::inRange<uint64_t>(1, 1U << 26U);
+    const int count = *rc::gen::inRange(1, 20);
+    for (int i = 0; i < count; ++i) {
+        RouteRule route;
+        route.method = *rc::gen::element<std::string>("GET", "POST", "DELETE");
+        route.pathPrefix = "/r" + std::to_string(i);
+        route.idempotent = *rc::gen::arbitrary<bool>();
+        route.deadline = std::chrono::milliseconds(*rc::gen::inRange(1, 600001));
+        route.priority = *rc::gen::element(Priority::High, Priority::Normal, Priority::Low);
+        route.maxRetries = route.idempotent ? *rc::gen::inRange(0U, 9U) : 0;
+        route.hedge = route.idempotent && *rc::gen::arbitrary<bool>();
+        route.keyRequired = !route.idempotent && *rc::gen::arbitrary<bool>();
+        config.routes.push_back(route);
+    }
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("ServiceConfigParser.validConfigurations.areReadAsWritten")
+{
+    // Guards against values lost, rounded or assigned to the wrong key.
+    CHECK(rc::check([] {
+        const ServiceConfig config = randomConfig();
+        const auto result = ServiceConfigParser::parse(toYaml(config), "f.yaml");
+        RC_ASSERT(result.config != nullptr);
+        RC_ASSERT(toYaml(*result.config) == toYaml(config));
+        RC_ASSERT(result.config->targets.drainLimit == config.targets.drainLimit);
+    }));
+}
