--- /dev/null
+++ b/tests/fakeclock.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+
+namespace carobjunction
+{
+
+/** Clock that a test sets. */
+class FakeClock
+{
+public:
+    TimePoint now() const
+    {
+        return m_now;
+    }
+
+    void advance(Duration duration)
+    {
+        m_now += duration;
+    }
+
+private:
+    TimePoint m_now = TimePoint {} + std::chrono::hours(1);
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/tests/request/attemptplannertest.cpp
@@ -0,0 +1,189 @@
+#include <carobjunction/request/attemptplanner.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+class FakeEnvironment
+{
+public:
+    std::optional<std::string> chooseTarget(std::span<const std::string> excluded)
+    {
+        for (int index = 0; index < targets; ++index) {
+            const std::string id = "t" + std::to_string(index);
+            if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
+    bool takeRetryToken()
+    {
+        if (tokens == 0) {
+            return false;
+        }
+        --tokens;
+        ++taken;
+        return true;
+    }
+
+    int targets = 5;
+    int tokens = 10;
+    int taken = 0;
+};
+
+CallResult resultOf(Outcome outcome, Reason reason, int status = 0)
+{
+    CallResult result;
+    result.outcome = outcome;
+    result.reason = reason;
+    result.status = status;
+    return result;
+}
+
+class AttemptPlannerFixture
+{
+public:
+    AttemptRules rules()
+    {
+        AttemptRules rules;
+        rules.deadline = Deadline::after(now, 1s);
+        return rules;
+    }
+
+    FakeEnvironment environment;
+    TimePoint now = TimePoint {} + 1h;
+};
+
+struct Trace {
+    CallResult result;
+    int maybeRan = 0; /**< Attempts whose result was Ran or Unknown, or that never ended. */
+    int refused = 0;
+    int retriesAndHedges = 0;
+    int started = 0;
+    int startedAtDeadline = 0;
+};
+
+// Runs a planner against generated results until it finishes.
+Trace runPlan(FakeEnvironment &environment, const AttemptRules &rules, TimePoint now)
+{
+    AttemptPlanner<FakeEnvironment> planner(environment, rules);
+    Trace trace;
+    for (int step = 0; step < 200; ++step) {
+        const PlanStep next = planner.next(now);
+        if (const auto *finish = std::get_if<FinishCall>(&next)) {
+            trace.result = finish->result;
+            trace.maybeRan += static_cast<int>(planner.unfinished().size());
+            return trace;
+        }
+        if (const auto *start = std::get_if<StartAttempt>(&next)) {
+            ++trace.started;
+            trace.startedAtDeadline += rules.deadline.isPast(now) ? 1 : 0;
+            trace.retriesAndHedges += start->kind == AttemptKind::Retry || start->kind == AttemptKind::Hedge ? 1 : 0;
+        }
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+        if (planner.unfinished().empty() || *rc::gen::inRange(0, 3) == 0) {
+            continue;
+        }
+        const uint32_t number = planner.unfinished()[*rc::gen::inRange<size_t>(0, planner.unfinished().size())].number;
+        const auto outcome = *rc::gen::element(Outcome::Ran, Outcome::NotRun, Outcome::Unknown);
+        const auto reason = *rc::gen::element(Reason::Full, Reason::Leaving, Reason::AnswerLost, Reason::PeerUnreachable, Reason::DeadlineTooShort);
+        trace.maybeRan += outcome == Outcome::NotRun ? 0 : 1;
+        trace.refused += outcome == Outcome::NotRun ? 1 : 0;
+        planner.onResult(number, resultOf(outcome, reason, *rc::gen::element(200, 404, 500, 503)));
+    }
+    RC_FAIL("the planner did not finish");
+    return trace;
+}
+
+} // namespace
+
+TEST_CASE("AttemptPlanner.anyResults.keepsAtMostOnceAndTellsTheTruth")
+{
+    // Guards against a doubled non-idempotent request, a false "not run", attempts past the deadline and spending without a token.
+    CHECK(rc::check("attempts and outcome", [] {
+        FakeEnvironment environment;
+        environment.targets = *rc::gen::inRange(0, 6);
+        environment.tokens = *rc::gen::inRange(0, 4);
+        const TimePoint now = TimePoint {} + 1h;
+        AttemptRules rules;
+        rules.idempotent = *rc::gen::arbitrary<bool>();
+        rules.maxRetries = *rc::gen::inRange(0U, 4U);
+        rules.maxReroutes = *rc::gen::inRange(0U, 5U);
+        rules.deadline = Deadline::after(now, std::chrono::milliseconds(*rc::gen::inRange(0, 1500)));
+        if (*rc::gen::arbitrary<bool>()) {
+            rules.hedgeDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+        }
+        const Trace trace = runPlan(environment, rules, now);
+        RC_ASSERT(trace.startedAtDeadline == 0);
+        RC_ASSERT(rules.idempotent || trace.maybeRan <= 1);
+        RC_ASSERT(rules.idempotent || trace.retriesAndHedges == 0);
+        RC_ASSERT(trace.result.outcome != Outcome::NotRun || trace.maybeRan == 0);
+        RC_ASSERT(trace.result.outcome != Outcome::Unknown || trace.maybeRan > 0);
+        RC_ASSERT(trace.started <= 1 + environment.taken + trace.refused);
+    }));
+}
+
+TEST_CASE_METHOD(AttemptPlannerFixture, "AttemptPlanner.refusedEverywhere.asksOneTargetToQueue")
+{
+    // Guards against refusing a request that could have waited for a slot.
+    environment.targets = 3;
+    AttemptPlanner<FakeEnvironment> planner(environment, rules());
+    std::set<std::string> asked;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        const auto start = std::get<StartAttempt>(planner.next(now));
+        CHECK_FALSE(start.mayQueue);
+        asked.insert(start.target);
+        planner.onResult(start.number, resultOf(Outcome::NotRun, Reason::Full));
+    }
+    CHECK(asked.size() == 3);
+    const auto last = std::get<StartAttempt>(planner.next(now));
+    CHECK(last.mayQueue);
+    planner.onResult(last.number, resultOf(Outcome::NotRun, Reason::Full));
+    CHECK(std::get<FinishCall>(planner.next(now)).result.outcome == Outcome::NotRun);
+}
+
+TEST_CASE_METHOD(AttemptPlannerFixture, "AttemptPlanner.answerLostOnIdempotent.retriesAloneElsewhere")
+{
+    // Guards against a crashing request that takes healthy neighbours down with it when it is retried.
+    AttemptRules rules = this->rules();
+    rules.idempotent = true;
+    rules.maxRetries = 1;
+    AttemptPlanner<FakeEnvironment> planner(environment, rules);
+    const auto first = std::get<StartAttempt>(planner.next(now));
+    planner.onResult(first.number, resultOf(Outcome::Unknown, Reason::AnswerLost));
+    const auto retry = std::get<StartAttempt>(planner.next(now));
+    CHECK(retry.kind == AttemptKind::Retry);
+    CHECK(retry.alone);
+    CHECK(retry.target != first.target);
+    planner.onResult(retry.number, resultOf(Outcome::Unknown, Reason::AnswerLost));
+    CHECK(std::get<FinishCall>(planner.next(now)).result.outcome == Outcome::Unknown);
+    CHECK(environment.taken == 1);
+}
+
+TEST_CASE_METHOD(AttemptPlannerFixture, "AttemptPlanner.slowIdempotentAttempt.isHedgedOnceAndTheFirstAnswerWins")
+{
+    // Guards against waiting for a straggler, and against more than one hedge.
+    AttemptRules rules = this->rules();
+    rules.idempotent = true;
+    rules.hedgeDelay = 50ms;
+    AttemptPlanner<FakeEnvironment> planner(environment, rules);
+    const auto first = std::get<StartAttempt>(planner.next(now));
+    CHECK(std::get<WaitUntil>(planner.next(now)).at == now + 50ms);
+    const auto hedge = std::get<StartAttempt>(planner.next(now + 50ms));
+    CHECK(hedge.kind == AttemptKind::Hedge);
+    CHECK(hedge.target != first.target);
+    CHECK(std::get<WaitUntil>(planner.next(now + 500ms)).at == now + 1s);
+    planner.onResult(hedge.number, resultOf(Outcome::Ran, Reason::None, 200));
+    CHECK(std::get<FinishCall>(planner.next(now + 501ms)).result.status == 200);
+    REQUIRE(planner.unfinished().size() == 1);
+    CHECK(planner.unfinished().front().number == first.number);
+}
