--- /dev/null
+++ b/include/carobjunction/process/targettable.h
@@ -0,0 +1,559 @@
+#pragma once
+
+#include <carobjunction/process/attemptreport.h>
+#include <carobjunction/process/clock.h>
+#include <carobjunction/process/lastreason.h>
+#include <carobjunction/process/routechoice.h>
+#include <carobjunction/process/routingpolicy.h>
+#include <carobjunction/process/targethealth.h>
+#include <carobjunction/process/targetinfo.h>
+#include <carobjunction/process/targetload.h>
+#include <carobjunction/version/serviceconfig.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace carobjunction
+{
+
+/** State of one target for the operators' page. */
+struct TargetSnapshot {
+    TargetInfo target;
+    bool own = false;
+    TargetPhase phase = TargetPhase::Normal;
+    uint32_t localInFlight = 0;
+    std::optional<LoadReport> load;
+    std::optional<Duration> reportAge;
+    std::optional<Duration> latency;
+    double failureShare = 0;
+    double weight = 1;
+    std::optional<Duration> ejectedFor; /**< Time until the next trial. */
+};
+
+/** An ejection or a return, for the event log. */
+struct TargetChange {
+    std::string service;
+    std::string daemon;
+    bool ejected = false; /**< Ejected if true, tried again if false. */
+    std::string evidence;
+};
+
+namespace detail
+{
+
+/** State of one incarnation of a target. */
+struct TargetState {
+    TargetState(TargetInfo targetInfo, TimePoint now) : info(std::move(targetInfo)), health(now)
+    {
+    }
+
+    TargetInfo info;
+    TargetLoad load;
+    TargetHealth health;
+};
+
+/** What an attempt says about the health of its target. */
+enum class Verdict {
+    Success,
+    Failure,
+    Refusal, /**< The target's daemon refused for lack of capacity. */
+    Neutral, /**< The attempt says nothing about the target. */
+};
+
+Verdict verdictOf(const AttemptReport &report);
+
+/** @return median of @p values, zero if there are none */
+Duration medianOf(std::vector<Duration> values);
+
+} // namespace detail
+
+/**
+ * State of the targets of all services as one entry daemon sees them, and the choice among them. Thread-safe.
+ * Does no I/O and makes no log call.
+ */
+template<MonotonicClock Clock>
+class TargetTable
+{
+public:
+    /**
+     * @param clock  must outlive the table
+     * @param ownDaemon  id of this daemon
+     * @param ownRegion  region of this daemon
+     * @param ownDataCentre  data centre of this daemon
+     * @param seed  for random choices; must differ between daemons
+     */
+    TargetTable(const Clock &clock, std::string ownDaemon, std::string ownRegion, std::string ownDataCentre, uint64_t seed)
+        : m_clock(clock), m_ownDaemon(std::move(ownDaemon)), m_ownRegion(std::move(ownRegion)), m_ownDataCentre(std::move(ownDataCentre)), m_rng(seed)
+    {
+    }
+
+    /**
+     * Replaces the targets of a service. Targets that stay keep their state; a new incarnation starts fresh and cold.
+     * A target once known as leaving stays so until it comes back with a new incarnation.
+     */
+    void setTargets(const std::string &service, std::vector<TargetInfo> targets);
+
+    /**
+     * Chooses a target and counts the call as in flight there until finished() is called.
+     * @param config  configuration of the service
+     * @param excluded  daemon ids that this request tried before
+     * @return the choice, or empty with LastReason<RouteError>
+     */
+    std::optional<RouteChoice> choose(const ServiceConfig &config, std::span<const std::string> excluded);
+
+    /** Ends a call counted by choose(). Ignored if the target has another incarnation by now. */
+    void finished(const std::string &service, const std::string &daemon, uint64_t incarnation, const AttemptReport &report);
+
+    /**
+     * Takes a load report from a probe or from gossip.
+     * @param age  age of the report, zero if it was just made
+     * @return false if the target is unknown, the report is of another incarnation or a later report was seen
+     */
+    bool observeLoad(const std::string &service, const std::string &daemon, const LoadReport &report, Duration age = Duration::zero());
+
+    /** Stops new calls to a target at once. Ignored if the target has a later incarnation. */
+    void markLeaving(const std::string &service, const std::string &daemon, uint64_t incarnation);
+
+    /** Ejects a target whose daemon does not answer, as far as the limit on ejections allows. */
+    void noteUnreachable(const std::string &service, const std::string &daemon);
+
+    /** @return the state of each target of the service, in the order of the daemon ids */
+    std::vector<TargetSnapshot> snapshot(const std::string &service) const;
+
+    /** @return targets other than the own one whose last report is older than @p maxAge, the oldest first */
+    std::vector<TargetInfo> staleTargets(const std::string &service, Duration maxAge) const;
+
+    /** @return ejections and returns since the last call, for the event log */
+    std::vector<TargetChange> takeChanges();
+
+private:
+    using State = detail::TargetState;
+
+    struct Service {
+        std::map<std::string, State> targets;
+        RoutingRules rules;
+        Duration coldRamp = TargetRules {}.coldRamp;
+        AnyPolicy policy = makePolicy(RoutingRules {});
+    };
+
+    bool isOwn(const State &state) const
+    {
+        return state.info.daemon == m_ownDaemon;
+    }
+
+    bool isSameRegion(const State &state) const
+    {
+        return state.info.region == m_ownRegion;
+    }
+
+    static void applyRules(Service &service, const ServiceConfig &config);
+    Candidate candidateOf(const State &state, TimePoint now, Duration typical, Duration ramp) const;
+    Duration typicalLatency(const Service &service, TimePoint now, const State *except) const;
+    static size_t ejectionLimit(const Service &service);
+    void enforceEjectionLimit(const std::string &name, Service &service, TimePoint now);
+    void tryEject(const std::string &name, Service &service, State &state, TimePoint now, std::string_view evidence);
+    void record(std::string service, std::string daemon, bool ejected, std::string_view evidence);
+    State *find(const std::string &service, const std::string &daemon);
+    RouteChoice take(State &state, TimePoint now, std::string why);
+    State *dueTrial(Service &service, TimePoint now);
+    std::optional<RouteChoice> chooseAmong(Service &service, std::vector<State *> &eligible, TimePoint now, bool lastResort);
+
+    const Clock &m_clock;
+    const std::string m_ownDaemon;
+    const std::string m_ownRegion;
+    const std::string m_ownDataCentre;
+    mutable std::mutex m_mutex;
+    Rng m_rng;
+    std::map<std::string, Service> m_services;
+    std::vector<TargetChange> m_changes;
+};
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::setTargets(const std::string &service, std::vector<TargetInfo> targets)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    Service &entry = m_services[service];
+    std::map<std::string, State> next;
+    for (TargetInfo &info : targets) {
+        const auto old = entry.targets.find(info.daemon);
+        if (old != entry.targets.end() && old->second.info.incarnation == info.incarnation) {
+            info.leaving = info.leaving || old->second.info.leaving;
+            old->second.info = info;
+            next.insert_or_assign(info.daemon, std::move(old->second));
+        } else {
+            const std::string daemon = info.daemon;
+            next.insert_or_assign(daemon, State(std::move(info), now));
+        }
+    }
+    entry.targets = std::move(next);
+}
+
+template<MonotonicClock Clock>
+std::optional<RouteChoice> TargetTable<Clock>::choose(const ServiceConfig &config, std::span<const std::string> excluded)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    const auto found = m_services.find(config.service);
+    if (found == m_services.end() || found->second.targets.empty()) {
+        return LastReason<RouteError>::fail(RouteError::UnknownService);
+    }
+    Service &service = found->second;
+    applyRules(service, config);
+    enforceEjectionLimit(config.service, service, now);
+    // Only first attempts serve as trials: a request that was refused before has waited long enough.
+    if (State *trial = excluded.empty() ? dueTrial(service, now) : nullptr) {
+        record(config.service, trial->info.daemon, false, "trial");
+        return take(*trial, now, "trial");
+    }
+    std::vector<State *> eligible;
+    std::vector<State *> ejected;
+    bool accepting = false;
+    for (auto &[daemon, state] : service.targets) {
+        if (state.info.leaving) {
+            continue;
+        }
+        accepting = true;
+        if (std::find(excluded.begin(), excluded.end(), daemon) != excluded.end()) {
+            continue;
+        }
+        const TargetPhase phase = state.health.phase(now, service.coldRamp);
+        const bool usable = phase == TargetPhase::Normal || phase == TargetPhase::Ramp;
+        (usable ? eligible : ejected).push_back(&state);
+    }
+    if (eligible.empty() && ejected.empty()) {
+        return LastReason<RouteError>::fail(accepting ? RouteError::AllExcluded : RouteError::AllLeaving);
+    }
+    const bool lastResort = eligible.empty();
+    return chooseAmong(service, lastResort ? ejected : eligible, now, lastResort);
+}
+
+template<MonotonicClock Clock>
+std::optional<RouteChoice> TargetTable<Clock>::chooseAmong(Service &service, std::vector<State *> &eligible, TimePoint now, bool lastResort)
+{
+    const Duration typical = typicalLatency(service, now, nullptr);
+    std::vector<Candidate> candidates;
+    std::vector<State *> kept;
+    std::uniform_real_distribution<double> uniform(0, 1);
+    for (State *state : eligible) {
+        const Candidate candidate = candidateOf(*state, now, typical, service.coldRamp);
+        if (candidate.weight >= 1 || uniform(m_rng) < candidate.weight) {
+            candidates.push_back(candidate);
+            kept.push_back(state);
+        }
+    }
+    if (candidates.empty()) {
+        for (State *state : eligible) {
+            candidates.push_back(candidateOf(*state, now, typical, service.coldRamp));
+        }
+        kept = eligible;
+    }
+    return std::visit(
+        [&](auto &policy) -> std::optional<RouteChoice> {
+            const std::optional<size_t> index = policy.choose(candidates, m_rng);
+            if (!index) {
+                return LastReason<RouteError>::fail(RouteError::PolicyRefused);
+            }
+            const bool spill = !candidates[*index].sameRegion
+                && std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return candidate.sameRegion; });
+            const char *why = lastResort ? "last-resort" : spill ? "spill" : eligible.size() == 1 ? "only" : "best";
+            RouteChoice choice = take(*kept[*index], now, why);
+            for (const WeighedIndex &weighed : policy.weighed()) {
+                choice.weighed.push_back({ std::string(candidates[weighed.index].daemon), weighed.score });
+            }
+            return choice;
+        },
+        service.policy);
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::finished(const std::string &service, const std::string &daemon, uint64_t incarnation, const AttemptReport &report)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    State *state = find(service, daemon);
+    if (state == nullptr || state->info.incarnation != incarnation) {
+        return;
+    }
+    state->load.finished(now, report.latency);
+    const detail::Verdict verdict = detail::verdictOf(report);
+    if (report.load && report.load->incarnation == incarnation) {
+        state->load.observe(*report.load, now, verdict == detail::Verdict::Failure);
+        state->info.leaving = state->info.leaving || report.load->leaving;
+    }
+    if (report.reason == Reason::Leaving) {
+        state->info.leaving = true;
+    }
+    switch (verdict) {
+    case detail::Verdict::Success:
+        state->health.succeeded(now, report.latency);
+        break;
+    case detail::Verdict::Failure:
+        state->health.failed(now, report.latency);
+        break;
+    case detail::Verdict::Refusal:
+        state->health.refused(now);
+        break;
+    case detail::Verdict::Neutral:
+        if (report.cancelled) {
+            state->health.cancelled(now, report.latency);
+        }
+        break;
+    }
+    Service &entry = m_services.at(service);
+    const std::string_view evidence = state->health.evidence(now, typicalLatency(entry, now, state));
+    if (report.reason == Reason::PeerUnreachable || report.reason == Reason::TargetDown) {
+        tryEject(service, entry, *state, now, nameOf(report.reason));
+    } else if (!evidence.empty()) {
+        tryEject(service, entry, *state, now, evidence);
+    }
+}
+
+template<MonotonicClock Clock>
+bool TargetTable<Clock>::observeLoad(const std::string &service, const std::string &daemon, const LoadReport &report, Duration age)
+{
+    const std::lock_guard lock(m_mutex);
+    State *state = find(service, daemon);
+    if (state == nullptr || state->info.incarnation != report.incarnation) {
+        return false;
+    }
+    state->info.leaving = state->info.leaving || report.leaving;
+    return state->load.observe(report, m_clock.now() - age, false);
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::markLeaving(const std::string &service, const std::string &daemon, uint64_t incarnation)
+{
+    const std::lock_guard lock(m_mutex);
+    State *state = find(service, daemon);
+    if (state != nullptr && state->info.incarnation <= incarnation) {
+        state->info.leaving = true;
+    }
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::noteUnreachable(const std::string &service, const std::string &daemon)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    if (State *state = find(service, daemon)) {
+        state->health.failed(now, Duration::zero());
+        tryEject(service, m_services.at(service), *state, now, "unreachable");
+    }
+}
+
+template<MonotonicClock Clock>
+std::vector<TargetSnapshot> TargetTable<Clock>::snapshot(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    std::vector<TargetSnapshot> result;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return result;
+    }
+    const Duration typical = typicalLatency(found->second, now, nullptr);
+    const Duration ramp = found->second.coldRamp;
+    for (const auto &[daemon, state] : found->second.targets) {
+        TargetSnapshot shot;
+        shot.target = state.info;
+        shot.own = isOwn(state);
+        shot.phase = state.health.phase(now, ramp);
+        shot.localInFlight = state.load.inFlight();
+        shot.load = state.load.report();
+        if (shot.load) {
+            shot.reportAge = state.load.reportAge(now);
+        }
+        shot.latency = state.health.latency(now, typical);
+        shot.failureShare = state.health.failureShare(now);
+        const bool stopped = shot.phase == TargetPhase::Ejected || shot.phase == TargetPhase::Trial;
+        shot.weight = stopped ? 0 : state.health.weight(now, ramp);
+        if (shot.phase == TargetPhase::Ejected) {
+            shot.ejectedFor = state.health.ejectedUntil() - now;
+        }
+        result.push_back(std::move(shot));
+    }
+    return result;
+}
+
+template<MonotonicClock Clock>
+std::vector<TargetInfo> TargetTable<Clock>::staleTargets(const std::string &service, Duration maxAge) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    std::vector<std::pair<Duration, const TargetInfo *>> stale;
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        for (const auto &[daemon, state] : found->second.targets) {
+            const Duration age = state.load.reportAge(now);
+            if (age > maxAge && !isOwn(state) && !state.info.leaving) {
+                stale.emplace_back(age, &state.info);
+            }
+        }
+    }
+    std::stable_sort(stale.begin(), stale.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<TargetInfo> result;
+    for (const auto &[age, info] : stale) {
+        result.push_back(*info);
+    }
+    return result;
+}
+
+template<MonotonicClock Clock>
+std::vector<TargetChange> TargetTable<Clock>::takeChanges()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_changes, {});
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::applyRules(Service &service, const ServiceConfig &config)
+{
+    const RoutingRules &a = service.rules;
+    const RoutingRules &b = config.routing;
+    if (a.policy != b.policy || a.choices != b.choices || a.staleAfter != b.staleAfter || a.regionCost != b.regionCost) {
+        service.policy = makePolicy(b);
+    }
+    service.rules = b;
+    service.coldRamp = config.targets.coldRamp;
+}
+
+template<MonotonicClock Clock>
+Candidate TargetTable<Clock>::candidateOf(const State &state, TimePoint now, Duration typical, Duration ramp) const
+{
+    Candidate candidate;
+    candidate.daemon = state.info.daemon;
+    candidate.localInFlight = state.load.inFlight();
+    candidate.load = state.load.report();
+    candidate.reportAge = state.load.reportAge(now);
+    candidate.othersAtReport = state.load.othersAtReport();
+    candidate.othersMean = state.load.othersMean();
+    candidate.latency = state.health.latency(now, typical);
+    candidate.latencyDeviation = state.health.deviation();
+    candidate.typicalLatency = typical;
+    candidate.oldestInFlight = state.load.oldest(now);
+    candidate.failureShare = state.health.failureShare(now);
+    candidate.own = isOwn(state);
+    candidate.sameRegion = isSameRegion(state);
+    candidate.sameDataCentre = state.info.dataCentre == m_ownDataCentre;
+    candidate.weight = state.health.weight(now, ramp);
+    candidate.slots = std::max(1U, state.info.slots);
+    return candidate;
+}
+
+template<MonotonicClock Clock>
+Duration TargetTable<Clock>::typicalLatency(const Service &service, TimePoint now, const State *except) const
+{
+    std::vector<Duration> latencies;
+    for (const auto &[daemon, state] : service.targets) {
+        const std::optional<Duration> latency = state.health.latency(now, Duration::zero());
+        if (&state != except && latency) {
+            latencies.push_back(*latency);
+        }
+    }
+    return detail::medianOf(std::move(latencies));
+}
+
+template<MonotonicClock Clock>
+size_t TargetTable<Clock>::ejectionLimit(const Service &service)
+{
+    const auto accepting
+        = static_cast<size_t>(std::count_if(service.targets.begin(), service.targets.end(), [](const auto &entry) { return !entry.second.info.leaving; }));
+    const auto share = static_cast<size_t>(service.rules.maxEjectedShare * static_cast<double>(service.targets.size()));
+    return std::min(share, accepting > 0 ? accepting - 1 : 0);
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::enforceEjectionLimit(const std::string &name, Service &service, TimePoint now)
+{
+    std::vector<State *> ejected;
+    for (auto &[daemon, state] : service.targets) {
+        const TargetPhase phase = state.health.phase(now, service.coldRamp);
+        if (!state.info.leaving && (phase == TargetPhase::Ejected || phase == TargetPhase::Trial)) {
+            ejected.push_back(&state);
+        }
+    }
+    const size_t limit = ejectionLimit(service);
+    if (ejected.size() <= limit) {
+        return;
+    }
+    // Targets leave or the configuration lowers the limit: those nearest to their trial return first.
+    std::sort(ejected.begin(), ejected.end(), [](const State *a, const State *b) { return a->health.ejectedUntil() < b->health.ejectedUntil(); });
+    for (size_t i = 0; i < ejected.size() - limit; ++i) {
+        ejected[i]->health.release(now);
+        record(name, ejected[i]->info.daemon, false, "ejection-limit");
+    }
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::tryEject(const std::string &name, Service &service, State &state, TimePoint now, std::string_view evidence)
+{
+    const TargetPhase phase = state.health.phase(now, service.coldRamp);
+    if (phase == TargetPhase::Ejected || state.info.leaving) {
+        return;
+    }
+    if (phase != TargetPhase::Trial) {
+        size_t ejected = 0;
+        for (const auto &[daemon, other] : service.targets) {
+            const TargetPhase otherPhase = other.health.phase(now, service.coldRamp);
+            ejected += !other.info.leaving && (otherPhase == TargetPhase::Ejected || otherPhase == TargetPhase::Trial) ? 1 : 0;
+        }
+        if (ejected + 1 > ejectionLimit(service)) {
+            return;
+        }
+    }
+    constexpr double Jitter = 0.25; // spreads the trials of several entry daemons
+    state.health.eject(now, std::uniform_real_distribution<double>(1 - Jitter, 1 + Jitter)(m_rng));
+    record(name, state.info.daemon, true, evidence);
+}
+
+template<MonotonicClock Clock>
+void TargetTable<Clock>::record(std::string service, std::string daemon, bool ejected, std::string_view evidence)
+{
+    constexpr size_t MostChanges = 1000; // in case nobody fetches them
+    if (m_changes.size() < MostChanges) {
+        m_changes.push_back({ std::move(service), std::move(daemon), ejected, std::string(evidence) });
+    }
+}
+
+template<MonotonicClock Clock>
+typename TargetTable<Clock>::State *TargetTable<Clock>::find(const std::string &service, const std::string &daemon)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return nullptr;
+    }
+    const auto target = found->second.targets.find(daemon);
+    return target == found->second.targets.end() ? nullptr : &target->second;
+}
+
+template<MonotonicClock Clock>
+RouteChoice TargetTable<Clock>::take(State &state, TimePoint now, std::string why)
+{
+    state.load.started(now);
+    RouteChoice choice;
+    choice.target = state.info;
+    choice.own = isOwn(state);
+    choice.why = std::move(why);
+    return choice;
+}
+
+template<MonotonicClock Clock>
+typename TargetTable<Clock>::State *TargetTable<Clock>::dueTrial(Service &service, TimePoint now)
+{
+    if (service.rules.policy == PolicyKind::LocalOnly) {
+        return nullptr;
+    }
+    for (auto &[daemon, state] : service.targets) {
+        if (!state.info.leaving && state.load.inFlight() == 0 && state.health.phase(now, service.coldRamp) == TargetPhase::Trial) {
+            return &state;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace carobjunction
