Add the store client and a stand-in store

Cause: keyed requests, configurations and seeds need the platform's table service and object store; tests need a store with faults on request. Change: storetypes.h defines the concept Store and its errors; StoreClient speaks the protocol over HTTP with a bounded pool and a circuit breaker (doubling, jittered pause; one trial call at a time). The stand-in serves an in-memory store, with outages, delays, lost answers and rate limits set by POST /control. Conclusion: a 503 to a write counts as "may have taken effect", because the protocol does not promise the contrary; 429 and refused connections do not.

--- /dev/null
+++ b/tests/process/storeclienttest.cpp
@@ -0,0 +1,148 @@
+#include "process/storeclient.h"
+
+#include "../../tools/standin-store/standinserver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace carobjunction;
+
+namespace
+{
+
+struct ManualClock {
+    TimePoint time {};
+
+    TimePoint now() const
+    {
+        return time;
+    }
+};
+
+/** Stand-in store on a port of its own. */
+class RunningStandin
+{
+public:
+    RunningStandin() : m_port(server.bind("127.0.0.1", 0)), m_thread([this] { server.run(); })
+    {
+        while (!server.isRunning()) {
+            std::this_thread::yield();
+        }
+    }
+
+    ~RunningStandin()
+    {
+        server.stop();
+        m_thread.join();
+    }
+
+    std::unique_ptr<StoreClient> client() const
+    {
+        StoreClientOptions options;
+        options.address = "127.0.0.1:" + std::to_string(m_port);
+        options.breaker = { 3, std::chrono::milliseconds(1), std::chrono::milliseconds(2), 1 };
+        return StoreClient::create(options);
+    }
+
+    StandinServer server { 32 };
+
+private:
+    int m_port;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("StoreClient.connectionLostAfterWrite.saysThatItMayHaveTakenEffect", "[store]")
+{
+    // Guards against a write reported as failed although it is in force.
+    RunningStandin standin;
+    const auto client = standin.client();
+    standin.server.setFaults({ "up", {}, 1.0 });
+    CHECK_FALSE(client->transact({ { "claim/a", 0, nlohmann::json { { "x", "δίσκος" } } } }, false));
+    CHECK(LastReason<StoreError>::get().mayHaveTakenEffect);
+    standin.server.setFaults({});
+    const auto rows = client->read({ "claim/a", "claim/b" });
+    REQUIRE(rows);
+    REQUIRE(rows->size() == 1);
+    CHECK(rows->front().version == 1);
+    CHECK(rows->front().value == nlohmann::json { { "x", "δίσκος" } });
+    CHECK(client->readPrefix("claim/")->size() == 1);
+}
+
+TEST_CASE("StoreClient.atomicTransactionWithOneStaleVersion.changesNothing", "[store]")
+{
+    // Guards against a fenced transaction that applies in part.
+    RunningStandin standin;
+    const auto client = standin.client();
+    REQUIRE(client->transact({ { "lease/a", std::nullopt, nlohmann::json(1) } }, true)->committed);
+    const auto refused = client->transact({ { "seeds/a", std::nullopt, nlohmann::json(2) }, { "lease/a", 7, nlohmann::json(3) } }, true);
+    REQUIRE(refused);
+    CHECK_FALSE(refused->committed);
+    CHECK(refused->results[1].version == 1);
+    CHECK(client->readPrefix("seeds/")->empty());
+    const auto split = client->transact({ { "seeds/a", 0, nlohmann::json(2) }, { "lease/a", 7, nlohmann::json(3) } }, false);
+    REQUIRE(split);
+    CHECK(split->results[0].applied);
+    CHECK_FALSE(split->results[1].applied);
+}
+
+TEST_CASE("StoreClient.errors.areTold", "[store]")
+{
+    // Guards against a missing object taken for an outage, and an overload taken for a lost write.
+    RunningStandin standin;
+    const auto client = standin.client();
+    CHECK_FALSE(client->getObject("config-0"));
+    CHECK(LastReason<StoreError>::get().code == StoreErrorCode::NotFound);
+    REQUIRE(client->putObject("config-0", std::string("a\0b", 3)));
+    CHECK(client->getObject("config-0") == std::string("a\0b", 3));
+    standin.server.setFaults({ "up", {}, 0, 0 });
+    CHECK_FALSE(client->putObject("config-1", "x"));
+    CHECK(LastReason<StoreError>::get().code == StoreErrorCode::Overloaded);
+    CHECK_FALSE(LastReason<StoreError>::get().mayHaveTakenEffect);
+}
+
+TEST_CASE("StoreClient.outageEnds.callsAreMadeAgain", "[store]")
+{
+    // Guards against a client that stays closed after the store has come back.
+    RunningStandin standin;
+    const auto client = standin.client();
+    standin.server.setFaults({ "down" });
+    for (int i = 0; i < 5; ++i) {
+        CHECK_FALSE(client->read({ "a" }));
+        CHECK(LastReason<StoreError>::get().code == StoreErrorCode::Unavailable);
+    }
+    standin.server.setFaults({});
+    while (!client->read({ "a" })) {
+        std::this_thread::yield();
+    }
+    CHECK(client->read({ "a" }));
+}
+
+TEST_CASE("CircuitBreaker.longOutageWithManyCallers.makesFewTrialsAndOneAtATime", "[store]")
+{
+    // Guards against a retry storm while the store is down and at the moment it comes back.
+    using Breaker = CircuitBreaker<ManualClock>;
+    ManualClock clock;
+    Breaker breaker(clock, { 3, std::chrono::milliseconds(100), std::chrono::seconds(8), 20261204 });
+    int calls = 0;
+    for (int tick = 0; tick < 600'000; ++tick) {
+        clock.time += std::chrono::milliseconds(1);
+        const Breaker::Permit permit = breaker.acquire();
+        if (permit == Breaker::Permit::Denied) {
+            continue;
+        }
+        ++calls;
+        if (permit == Breaker::Permit::Trial) {
+            CHECK(breaker.acquire() == Breaker::Permit::Denied);
+        }
+        breaker.finish(permit, false);
+    }
+    // At most one trial in 4 s (half of the cap), after at most 3 failures and 7 shorter pauses.
+    CHECK(calls <= 160);
+    CHECK(calls >= 75);
+    clock.time += std::chrono::seconds(8);
+    const Breaker::Permit trial = breaker.acquire();
+    REQUIRE(trial == Breaker::Permit::Trial);
+    CHECK(breaker.finish(trial, true) == Breaker::Change::Closed);
+    CHECK(breaker.acquire() == Breaker::Permit::Call);
+}
