--- /dev/null
+++ b/src/version/configtable.cpp
@@ -0,0 +1,187 @@
+#include <carobjunction/version/configtable.h>
+
+#include <carobjunction/process/stablehash.h>
+
+#include "process/eventlog.h"
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+
+namespace carobjunction
+{
+
+ConfigTable::ConfigTable(Parser parser) : m_parser(std::move(parser))
+{
+}
+
+void ConfigTable::setChangeHandler(ChangeHandler handler)
+{
+    m_handler = std::move(handler);
+}
+
+std::string ConfigTable::sha256(std::string_view content)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char *>(content.data()), content.size(), digest.data());
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(2 * digest.size());
+    for (const unsigned char byte : digest) {
+        text += Digits[byte >> 4U];
+        text += Digits[byte & 15U];
+    }
+    return text;
+}
+
+std::optional<ConfigOffer> ConfigTable::check(const ConfigEntry &entry) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(entry.service);
+    if (found == m_records.end()) {
+        return m_records.size() < MaxServices ? std::nullopt : std::optional(ConfigOffer::TooLarge);
+    }
+    const ConfigEntry &inForce = *found->second.entry;
+    if (entry.version < inForce.version) {
+        return ConfigOffer::Older;
+    }
+    if (entry.version == inForce.version) {
+        return entry.hash == inForce.hash ? ConfigOffer::Known : ConfigOffer::Conflict;
+    }
+    return std::nullopt;
+}
+
+ConfigOffer ConfigTable::reject(const ConfigEntry &entry, ConfigOffer reason)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        Rejection *rejection = nullptr;
+        if (const auto found = m_rejections.find(entry.service); found != m_rejections.end()) {
+            rejection = &found->second;
+        } else if (m_rejections.size() < MaxServices) {
+            rejection = &m_rejections[entry.service];
+        }
+        if (rejection == nullptr || (rejection->version == entry.version && rejection->hash == entry.hash && rejection->reason == reason)) {
+            return reason;
+        }
+        *rejection = { entry.version, entry.hash, reason };
+    }
+    EventLog::write(LogLevel::Warning,
+                    reason == ConfigOffer::Conflict ? Event::ConfigConflict : Event::ConfigRejected,
+                    { { "service", entry.service },
+                      { "version", std::to_string(entry.version) },
+                      { "hash", entry.hash },
+                      { "publisher", entry.publisher },
+                      { "reason", std::string(nameOf(reason)) } });
+    return reason;
+}
+
+ConfigOffer ConfigTable::offer(const ConfigEntry &entry)
+{
+    if (entry.service.empty() || entry.version == 0 || entry.content.empty()) {
+        return ConfigOffer::Malformed;
+    }
+    if (entry.content.size() > MaxContentBytes) {
+        return reject(entry, ConfigOffer::TooLarge);
+    }
+    if (const std::optional<ConfigOffer> known = check(entry)) {
+        return *known == ConfigOffer::Conflict ? reject(entry, *known) : *known;
+    }
+    if (sha256(entry.content) != entry.hash) {
+        return reject(entry, ConfigOffer::WrongHash);
+    }
+    const Config config = m_parser(entry.service, entry.version, entry.content);
+    if (!config) {
+        return reject(entry, ConfigOffer::Fault);
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        Record &record = m_records[entry.service];
+        // Another thread may have put a version into force while this one was parsed.
+        if (record.entry && record.entry->version >= entry.version) {
+            return record.entry->version > entry.version ? ConfigOffer::Older : record.entry->hash == entry.hash ? ConfigOffer::Known : ConfigOffer::Conflict;
+        }
+        record = { config, std::make_shared<const ConfigEntry>(entry), ++m_sequence };
+    }
+    EventLog::write(LogLevel::Info,
+                    Event::ConfigInForce,
+                    { { "service", entry.service }, { "version", std::to_string(entry.version) }, { "hash", entry.hash }, { "publisher", entry.publisher } });
+    if (m_handler) {
+        m_handler(config);
+    }
+    return ConfigOffer::Accepted;
+}
+
+bool ConfigTable::isWanted(const std::string &service, uint64_t version, std::string_view hash) const
+{
+    const std::lock_guard lock(m_mutex);
+    // Only a fault in verified content counts: with another hash or size, another peer may have the right content.
+    if (const auto rejected = m_rejections.find(service); rejected != m_rejections.end() && rejected->second.reason == ConfigOffer::Fault
+        && rejected->second.version == version && rejected->second.hash.starts_with(hash)) {
+        return false;
+    }
+    const auto found = m_records.find(service);
+    return found == m_records.end() || found->second.entry->version < version;
+}
+
+ConfigTable::Config ConfigTable::find(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(service);
+    return found == m_records.end() ? nullptr : found->second.config;
+}
+
+std::shared_ptr<const ConfigEntry> ConfigTable::entry(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(service);
+    return found == m_records.end() ? nullptr : found->second.entry;
+}
+
+std::vector<std::shared_ptr<const ConfigEntry>> ConfigTable::entries() const
+{
+    return changedSince(0).entries;
+}
+
+std::vector<ConfigTable::Config> ConfigTable::configs() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Config> configs;
+    configs.reserve(m_records.size());
+    for (const auto &[service, record] : m_records) {
+        configs.push_back(record.config);
+    }
+    return configs;
+}
+
+ConfigTable::Changes ConfigTable::changedSince(uint64_t cursor) const
+{
+    const std::lock_guard lock(m_mutex);
+    Changes changes;
+    changes.next = m_sequence;
+    for (const auto &[service, record] : m_records) {
+        if (record.sequence > cursor) {
+            changes.entries.push_back(record.entry);
+        }
+    }
+    return changes;
+}
+
+uint64_t ConfigTable::sequence() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sequence;
+}
+
+uint64_t ConfigTable::hash() const
+{
+    const std::lock_guard lock(m_mutex);
+    uint64_t result = 0;
+    for (const auto &[service, record] : m_records) {
+        result = mixBits(result ^ stableHash(service, record.entry->version) ^ stableHash(record.entry->hash));
+    }
+    return std::max<uint64_t>(result, 1);
+}
+
+} // namespace carobjunction
