Use the store's types and the configuration table's hash in the publisher

Change: Publisher takes the concept Store; ConfigRow is the one place that knows the form of the row. A write that certainly had no effect is reported as store-unavailable instead of unresolved.

--- a/src/version/publisher.h
+++ b/src/version/publisher.h
@@ -3,14 +3,11 @@
 #include <carobjunction/process/enumnames.h>
 #include <carobjunction/version/serviceconfigparser.h>
 
+#include "process/storetypes.h"
+#include "version/configrow.h"
 #include "version/linediff.h"
-#include "version/publishedconfig.h"
 #include "version/publishid.h"
-#include "version/sha256.h"
 
-#include <nlohmann/json.hpp>
-
-#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -21,21 +18,7 @@
 namespace carobjunction
 {
 
-/** Part of the store client that publishing needs. An empty result or false means: no answer, and a write may have taken effect. */
-template<typename T>
-concept PublishStore = requires(T &store, const std::string &text)
-{
-    store.read(std::vector<std::string> { text })->front().version;
-    store.readPrefix(text)->front().value;
-    store.transact({ { text, std::optional<uint64_t>(0), std::optional<nlohmann::json>() } }, true)->committed;
-    {
-        store.putObject(text, text)
-        } -> std::convertible_to<bool>;
-    {
-        store.getObject(text)
-        } -> std::convertible_to<std::optional<std::string>>;
-};
-
+/** Result of publishing. */
 enum class PublishOutcome {
     Published, /**< This publishing is in force. */
     Unchanged, /**< The same content was in force already. */
@@ -62,7 +45,7 @@
     std::string text; /**< Content of the service configuration file. */
     std::string file; /**< Name used in faults. */
     std::string publisher;
-    int64_t publishedAtMs = 0;
+    uint64_t publishedAtMs = 0; /**< Milliseconds since 1970-01-01 UTC. */
     std::string token; /**< Random part of a new publish id. */
     std::optional<PublishId> resumeId; /**< Publish id of an earlier attempt with the same text. */
     std::function<void(const std::string &)> onPublishId; /**< Called with the publish id before the first write; may be empty. */
@@ -74,7 +57,7 @@
     std::string service;
     std::string hash;
     std::string publishId;
-    std::optional<PublishedConfig> inForce; /**< Configuration in force, as far as it is known. */
+    std::optional<ConfigEntry> inForce; /**< Configuration in force without its content, as far as it is known. */
     std::vector<std::string> difference; /**< On a conflict: `-` lines of the winner, `+` lines of this file. */
     bool mayHaveBeenInForce = false; /**< On a conflict: this publishing may have been in force before the winner's. */
 };
@@ -84,11 +67,11 @@
  * condition that the row has not changed. So a row never names content that is not there, and of two concurrent
  * publishings one wins completely.
  */
-template<PublishStore Store>
+template<Store S>
 class Publisher
 {
 public:
-    explicit Publisher(Store &store) : m_store(store)
+    explicit Publisher(S &store) : m_store(store)
     {
     }
 
@@ -116,7 +99,7 @@
         if (request.onPublishId) {
             request.onPublishId(result.publishId);
         }
-        if (!writeObject(PublishedConfig::objectName(result.hash), request.text)) {
+        if (!writeObject(ConfigRow::objectName(result.hash), request.text)) {
             return result;
         }
         writeRow(result, request, id);
@@ -127,16 +110,16 @@
      * @param service  name of a service, or empty for all
      * @return the configurations in force, or empty if the store gives no answer
      */
-    std::optional<std::vector<PublishedConfig>> inForce(const std::string &service)
+    std::optional<std::vector<ConfigEntry>> inForce(const std::string &service)
     {
-        const auto rows = service.empty() ? m_store.readPrefix(std::string(PublishedConfig::KeyPrefix))
-                                          : m_store.read(std::vector<std::string> { PublishedConfig::keyOf(service) });
+        const auto rows
+            = service.empty() ? m_store.readPrefix(std::string(ConfigRow::KeyPrefix)) : m_store.read(std::vector<std::string> { ConfigRow::keyOf(service) });
         if (!rows) {
             return std::nullopt;
         }
-        std::vector<PublishedConfig> configs;
-        for (const auto &row : *rows) {
-            if (auto config = PublishedConfig::fromRow(row.key, row.version, valueOf(row.value))) {
+        std::vector<ConfigEntry> configs;
+        for (const StoreRow &row : *rows) {
+            if (auto config = ConfigRow::parse(row)) {
                 configs.push_back(std::move(*config));
             }
         }
@@ -146,8 +129,8 @@
     /** @return the content with the SHA-256 @p hash, or empty if the store does not give it */
     std::optional<std::string> content(const std::string &hash)
     {
-        std::optional<std::string> text = m_store.getObject(PublishedConfig::objectName(hash));
-        if (!text || sha256Hex(*text) != hash) {
+        std::optional<std::string> text = m_store.getObject(ConfigRow::objectName(hash));
+        if (!text || ConfigTable::sha256(*text) != hash) {
             return std::nullopt;
         }
         return text;
@@ -159,31 +142,21 @@
 
     struct CurrentRow {
         uint64_t version = 0; /**< 0 if the row is absent. */
-        PublishedConfig config; /**< Default values if the row is absent or malformed. */
+        ConfigEntry config; /**< Default values if the row is absent or malformed. */
     };
 
-    static const nlohmann::json &valueOf(const nlohmann::json &value)
-    {
-        return value;
-    }
-
-    static nlohmann::json valueOf(const std::optional<nlohmann::json> &value)
-    {
-        return value.value_or(nlohmann::json());
-    }
-
     std::optional<CurrentRow> readRow(const std::string &service)
     {
-        const std::string key = PublishedConfig::keyOf(service);
+        const std::string key = ConfigRow::keyOf(service);
         const auto rows = m_store.read(std::vector<std::string> { key });
         if (!rows) {
             return std::nullopt;
         }
         CurrentRow current;
-        for (const auto &row : *rows) {
+        for (const StoreRow &row : *rows) {
             if (row.key == key && row.version != 0) {
                 current.version = row.version;
-                current.config = PublishedConfig::fromRow(key, row.version, valueOf(row.value)).value_or(PublishedConfig());
+                current.config = ConfigRow::parse(row).value_or(ConfigEntry());
                 current.config.version = row.version;
             }
         }
@@ -207,36 +180,34 @@
 
     void writeRow(PublishResult &result, const PublishRequest &request, const PublishId &id)
     {
-        PublishedConfig config { result.service, id.baseVersion + 1, result.hash, request.publisher, result.publishId, request.publishedAtMs };
-        const std::string key = PublishedConfig::keyOf(result.service);
+        const ConfigEntry config { result.service, id.baseVersion + 1, result.hash, request.publisher, result.publishId, request.publishedAtMs, "" };
+        const std::vector<StoreOp> ops { { ConfigRow::keyOf(result.service), id.baseVersion, ConfigRow::toValue(config) } };
         bool isAnswerMissing = request.resumeId.has_value();
-        result.outcome = PublishOutcome::Unresolved;
+        bool isRefused = false;
         for (int attempt = 0; attempt < MaxWriteAttempts; ++attempt) {
-            const auto written = m_store.transact({ { key, std::optional<uint64_t>(id.baseVersion), std::optional<nlohmann::json>(config.toValue()) } }, true);
+            const auto written = m_store.transact(ops, true);
             if (written && written->committed) {
                 result.outcome = PublishOutcome::Published;
-                result.inForce = std::move(config);
+                result.inForce = config;
                 return;
             }
-            isAnswerMissing = isAnswerMissing || !written;
+            isAnswerMissing = isAnswerMissing || (!written && LastReason<StoreError>::get().mayHaveTakenEffect);
+            isRefused = isRefused || written;
             const auto current = readRow(result.service);
             if (current && current->version != id.baseVersion) {
                 settle(result, request, id, current->config, isAnswerMissing);
                 return;
             }
-            if (!current && !isAnswerMissing) {
-                // Every write was answered and refused, so another publishing came first.
-                result.outcome = PublishOutcome::Conflict;
-                return;
-            }
         }
+        // A refused write means that the row had changed already.
+        result.outcome = isAnswerMissing ? PublishOutcome::Unresolved : isRefused ? PublishOutcome::Conflict : PublishOutcome::StoreUnavailable;
     }
 
     /**
      * Decides the outcome when the row is not the one that the publishing builds on, or has the same content.
      * @param isAnswerMissing  whether a write with this publish id may have taken effect
      */
-    void settle(PublishResult &result, const PublishRequest &request, const PublishId &id, const PublishedConfig &current, bool isAnswerMissing)
+    void settle(PublishResult &result, const PublishRequest &request, const PublishId &id, const ConfigEntry &current, bool isAnswerMissing)
     {
         result.inForce = current;
         if (current.publishId == result.publishId && current.hash == result.hash) {
@@ -255,7 +226,7 @@
         }
     }
 
-    Store &m_store;
+    S &m_store;
 };
 
 } // namespace carobjunction
--- a/src/version/serviceconfigparser.cpp
+++ b/src/version/serviceconfigparser.cpp
@@ -1,6 +1,7 @@
 #include <carobjunction/version/serviceconfigparser.h>
 
-#include "version/sha256.h"
+#include <carobjunction/version/configtable.h>
+
 #include "version/yamlchecker.h"
 
 #include <algorithm>
@@ -263,7 +264,7 @@
     checker.sortFaults();
     if (result.faults.empty()) {
         config->version = version;
-        config->hash = sha256Hex(text);
+        config->hash = ConfigTable::sha256(text);
         result.config = std::move(config);
     }
     return result;
--- a/tests/version/publishertest.cpp
+++ b/tests/version/publishertest.cpp
@@ -1,54 +1,32 @@
 #include "version/publisher.h"
 
+#include "../../tools/standin-store/memorystore.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
-#include <map>
 
 using namespace carobjunction;
 
 namespace
 {
 
-struct FakeOp {
-    std::string key;
-    std::optional<uint64_t> ifVersion;
-    std::optional<nlohmann::json> value;
-};
-
-struct FakeOpResult {
-    bool applied = false;
-    uint64_t version = 0;
-    std::optional<nlohmann::json> value;
-};
-
-struct FakeTransactResult {
-    bool committed = false;
-    std::vector<FakeOpResult> results;
-};
-
-struct FakeRow {
-    std::string key;
-    uint64_t version = 0;
-    nlohmann::json value;
-};
-
-/** Store in memory. Each entry of a fault list decides on one call, in order. */
+/** Store in memory whose calls fail as listed, one entry a call. */
 struct FakeStore {
     enum class Fault {
         None,
+        Refused, /**< The call has no effect, and the caller knows it. */
         Dropped, /**< The call has no effect and no answer. */
         AnswerLost, /**< The call takes effect, but has no answer. */
-        Late, /**< The call has no answer, and takes effect before the next call of any kind but reads. */
+        Late, /**< The call has no answer, and takes effect before the next write. */
     };
 
-    std::map<std::string, FakeRow> rows;
-    std::map<std::string, std::string> objects;
+    MemoryStore memory;
     std::vector<Fault> transactFaults;
     std::vector<Fault> readFaults;
     std::vector<Fault> objectFaults;
-    std::vector<FakeOp> late;
+    std::vector<StoreOp> late;
     std::vector<std::string> appliedIds; /**< Publish ids of the writes that took effect, in order. */
     std::function<void()> beforeTransact;
 
@@ -59,72 +37,66 @@
         }
         const Fault fault = faults.front();
         faults.erase(faults.begin());
+        LastReason<StoreError>::fail({ StoreErrorCode::Timeout, fault != Fault::Refused, "fault" });
         return fault;
     }
 
-    FakeTransactResult apply(const FakeOp &op)
+    std::optional<TransactResult> apply(const std::vector<StoreOp> &ops)
     {
-        const auto found = rows.find(op.key);
-        const FakeRow current = found == rows.end() ? FakeRow() : found->second;
-        if (op.ifVersion && *op.ifVersion != current.version) {
-            return { false, { { false, current.version, current.value } } };
+        auto result = memory.transact(ops, true);
+        if (result->committed) {
+            appliedIds.push_back(ops.at(0).value.value().at("publish_id"));
         }
-        appliedIds.push_back(op.value.value().at("publish_id"));
-        FakeRow &row = rows[op.key];
-        row = { op.key, row.version + 1, op.value.value() };
-        return { true, { { true, row.version, row.value } } };
+        return result;
     }
 
-    std::optional<FakeTransactResult> transact(const std::vector<FakeOp> &ops, bool /*atomic*/)
+    std::optional<TransactResult> transact(const std::vector<StoreOp> &ops, bool /*atomic*/)
     {
         if (beforeTransact) {
             std::exchange(beforeTransact, nullptr)();
         }
-        for (const FakeOp &op : std::exchange(late, {})) {
-            apply(op);
+        if (!late.empty()) {
+            apply(std::exchange(late, {}));
         }
         const Fault fault = next(transactFaults);
         if (fault == Fault::Late) {
             late = ops;
         }
-        if (fault == Fault::Dropped || fault == Fault::Late) {
-            return std::nullopt;
+        if (fault == Fault::AnswerLost) {
+            apply(ops);
         }
-        FakeTransactResult result = apply(ops.at(0));
-        return fault == Fault::AnswerLost ? std::nullopt : std::optional(result);
+        return fault == Fault::None ? apply(ops) : std::nullopt;
     }
 
-    std::optional<std::vector<FakeRow>> read(const std::vector<std::string> &keys)
+    std::optional<std::vector<StoreRow>> read(const std::vector<std::string> &keys)
     {
-        if (next(readFaults) != Fault::None) {
-            return std::nullopt;
-        }
-        const auto row = rows.find(keys.at(0));
-        return row == rows.end() || row->second.version == 0 ? std::vector<FakeRow>() : std::vector<FakeRow> { row->second };
+        return next(readFaults) == Fault::None ? memory.read(keys) : std::nullopt;
     }
 
-    std::optional<std::vector<FakeRow>> readPrefix(const std::string & /*prefix*/)
+    std::optional<std::vector<StoreRow>> readPrefix(const std::string &prefix)
     {
-        std::vector<FakeRow> result;
-        for (const auto &[key, row] : rows) {
-            result.push_back(row);
-        }
-        return result;
+        return memory.readPrefix(prefix);
     }
 
     bool putObject(const std::string &name, const std::string &bytes)
     {
         const Fault fault = next(objectFaults);
-        if (fault != Fault::Dropped) {
-            objects[name] = bytes;
+        if (fault == Fault::None || fault == Fault::AnswerLost) {
+            memory.putObject(name, bytes);
         }
         return fault == Fault::None;
     }
 
     std::optional<std::string> getObject(const std::string &name)
     {
-        const auto object = objects.find(name);
-        return object == objects.end() ? std::nullopt : std::optional(object->second);
+        return memory.getObject(name);
+    }
+
+    /** Version of the row of `ordering`, 0 if absent. */
+    uint64_t version()
+    {
+        const auto rows = memory.read({ "config/ordering" });
+        return rows->empty() ? 0 : rows->front().version;
     }
 };
 
@@ -194,7 +166,7 @@
     CHECK(second.inForce->publisher == "ana");
     CHECK(publisher.publish(request(10, "ana", "a1")).inForce->version == 2);
     CHECK(publisher.publish(request(9, "ana", "a2")).inForce->version == 3);
-    CHECK(first.hash == store.rows.at("config/ordering").value.at("hash"));
+    CHECK(publisher.inForce("")->front().hash == first.hash);
 }
 
 TEST_CASE("Publisher.lostAnswers.areResolvedByThePublishId")
@@ -202,13 +174,13 @@
     // Guards against a second version, or a false failure, after a write whose answer was lost.
     FakeStore store;
     Publisher publisher(store);
-    for (const Fault fault : { Fault::AnswerLost, Fault::Dropped, Fault::Late }) {
-        const uint64_t before = store.rows["config/ordering"].version;
+    for (const Fault fault : { Fault::Refused, Fault::AnswerLost, Fault::Dropped, Fault::Late }) {
+        const uint64_t before = store.version();
         store.transactFaults = { fault };
         const PublishResult result = publisher.publish(request(10 + static_cast<int>(before), "ana", "a0"));
         CHECK(result.outcome == PublishOutcome::Published);
         CHECK(result.inForce->version == before + 1);
-        CHECK(store.rows["config/ordering"].version == before + 1);
+        CHECK(store.version() == before + 1);
     }
 }
 
@@ -233,7 +205,7 @@
     {
         CHECK(publisher.publish(ana).outcome == PublishOutcome::Published);
         CHECK(publisher.publish(ana).outcome == PublishOutcome::Published);
-        CHECK(store.rows.at("config/ordering").version == 1);
+        CHECK(store.version() == 1);
     }
     SECTION("after another publishing")
     {
@@ -259,8 +231,9 @@
     CHECK(publisher.publish(request(9, "ana", "a0")).outcome == PublishOutcome::StoreUnavailable);
     store.objectFaults = { Fault::Dropped, Fault::Dropped, Fault::Dropped };
     CHECK(publisher.publish(request(9, "ana", "a0")).outcome == PublishOutcome::StoreUnavailable);
-    CHECK(store.objects.empty());
-    CHECK(store.rows.empty());
+    CHECK(store.memory.counts().writes == 0);
+    store.transactFaults = { Fault::Refused, Fault::Refused, Fault::Refused };
+    CHECK(publisher.publish(request(9, "ana", "a0")).outcome == PublishOutcome::StoreUnavailable);
     store.objectFaults = { Fault::AnswerLost };
     CHECK(publisher.publish(request(9, "ana", "a0")).outcome == PublishOutcome::Published);
 }
@@ -269,7 +242,8 @@
 {
     // Guards against outcomes that disagree with the store after any order of lost answers.
     CHECK(rc::check([] {
-        const auto faults = rc::gen::container<std::vector<Fault>>(rc::gen::element(Fault::None, Fault::Dropped, Fault::AnswerLost, Fault::Late));
+        const auto faults
+            = rc::gen::container<std::vector<Fault>>(rc::gen::element(Fault::None, Fault::Refused, Fault::Dropped, Fault::AnswerLost, Fault::Late));
         FakeStore store;
         for (int i = 0; i < 8; ++i) {
             store.transactFaults = *faults;
@@ -281,8 +255,9 @@
             RC_ASSERT((result.outcome != PublishOutcome::Published) || isInForce);
             RC_ASSERT((result.outcome != PublishOutcome::StoreUnavailable && result.outcome != PublishOutcome::Conflict) || timesApplied == 0);
         }
-        for (const auto &[key, row] : store.rows) {
-            RC_ASSERT(store.objects.count("config-" + row.value.at("hash").get<std::string>()) == 1U);
+        const auto rows = store.memory.readPrefix("config/");
+        for (const StoreRow &row : *rows) {
+            RC_ASSERT(store.memory.getObject("config-" + row.value.at("hash").get<std::string>()).has_value());
         }
     }));
 }
