--- /dev/null
+++ b/bench/experimentparser.cpp
@@ -0,0 +1,288 @@
+#include "experimentparser.h"
+
+#include <carobjunction/process/lastreason.h>
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <initializer_list>
+#include <stdexcept>
+#include <string_view>
+
+namespace carobjunction::bench
+{
+
+namespace
+{
+
+void checkKeys(const YAML::Node &node, std::initializer_list<std::string_view> known)
+{
+    if (!node.IsMap()) {
+        throw std::runtime_error("mapping expected at line " + std::to_string(node.Mark().line + 1));
+    }
+    for (const auto &entry : node) {
+        const auto key = entry.first.as<std::string>();
+        if (std::find(known.begin(), known.end(), key) == known.end()) {
+            throw std::runtime_error("unknown field '" + key + "' at line " + std::to_string(entry.first.Mark().line + 1));
+        }
+    }
+}
+
+template<typename T>
+void read(const YAML::Node &node, const char *key, T &value)
+{
+    if (node[key]) {
+        value = node[key].as<T>();
+    }
+}
+
+void readMs(const YAML::Node &node, const char *key, Duration &value)
+{
+    if (node[key]) {
+        value = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(node[key].as<double>()));
+    }
+}
+
+template<typename Enum>
+void readName(const YAML::Node &node, const char *key, Enum &value)
+{
+    if (!node[key]) {
+        return;
+    }
+    const auto named = fromName<Enum>(node[key].as<std::string>());
+    if (!named) {
+        throw std::runtime_error("'" + node[key].as<std::string>() + "' is not a value of '" + key + "'");
+    }
+    value = *named;
+}
+
+/** A subtree as text, so that experiments don't share mutable nodes. */
+void readTree(const YAML::Node &node, const char *key, std::string &text)
+{
+    if (node[key]) {
+        text = YAML::Dump(node[key]);
+    }
+}
+
+CallKind parseCall(const YAML::Node &node)
+{
+    checkKeys(node, { "share", "service", "method", "path", "body", "keyed", "idempotent", "answer-bytes" });
+    CallKind call;
+    read(node, "share", call.share);
+    read(node, "service", call.service);
+    read(node, "method", call.method);
+    read(node, "path", call.path);
+    read(node, "body", call.body);
+    read(node, "keyed", call.keyed);
+    call.idempotent = call.method == "GET";
+    read(node, "idempotent", call.idempotent);
+    read(node, "answer-bytes", call.answerBytes);
+    return call;
+}
+
+ServiceSpec parseService(const YAML::Node &node)
+{
+    checkKeys(node, { "name", "targets", "slots", "service-time-ms", "distribution", "data-centres", "config" });
+    ServiceSpec service;
+    read(node, "name", service.name);
+    read(node, "targets", service.targets);
+    read(node, "slots", service.slots);
+    read(node, "service-time-ms", service.serviceTimeMs);
+    read(node, "distribution", service.distribution);
+    read(node, "data-centres", service.dataCentres);
+    readTree(node, "config", service.config);
+    if (service.targets == 0 || service.name.empty() || service.dataCentres.empty()) {
+        throw std::runtime_error("a service needs a name, targets and data centres");
+    }
+    return service;
+}
+
+ClusterSpec parseCluster(const YAML::Node &node)
+{
+    checkKeys(node, { "store", "data-centres", "services", "daemon-settings", "backend-workers" });
+    ClusterSpec cluster;
+    read(node, "store", cluster.store);
+    for (const auto &entry : node["data-centres"]) {
+        cluster.dataCentres.emplace_back(entry.first.as<std::string>(), entry.second.as<std::string>());
+    }
+    for (const auto &entry : node["services"]) {
+        cluster.services.push_back(parseService(entry));
+    }
+    readTree(node, "daemon-settings", cluster.daemonSettings);
+    read(node, "backend-workers", cluster.backendWorkers);
+    if (cluster.services.empty()) {
+        throw std::runtime_error("no services");
+    }
+    return cluster;
+}
+
+Variant parseVariant(const YAML::Node &node)
+{
+    checkKeys(node, { "name", "policy", "path", "config", "targets" });
+    Variant variant;
+    read(node, "name", variant.name);
+    read(node, "policy", variant.policy);
+    readName(node, "path", variant.path);
+    readTree(node, "config", variant.config);
+    read(node, "targets", variant.targets);
+    return variant;
+}
+
+FaultSpec parseFault(const YAML::Node &node)
+{
+    checkKeys(node, { "kind", "target", "share", "at-ms", "for-ms", "shortest-ms", "longest-ms", "mean-gap-ms", "factor", "status" });
+    FaultSpec fault;
+    readName(node, "kind", fault.kind);
+    if (node["target"]) {
+        fault.target = node["target"].as<std::size_t>();
+    }
+    read(node, "share", fault.share);
+    readMs(node, "at-ms", fault.at);
+    readMs(node, "for-ms", fault.length);
+    readMs(node, "shortest-ms", fault.shortest);
+    readMs(node, "longest-ms", fault.longest);
+    readMs(node, "mean-gap-ms", fault.meanGap);
+    read(node, "factor", fault.factor);
+    read(node, "status", fault.status);
+    if (!(fault.factor > 0) || fault.meanGap <= Duration::zero() || fault.share > 1) {
+        throw std::runtime_error("a fault has a factor, gap or share out of range");
+    }
+    return fault;
+}
+
+Scenario parseScenario(const YAML::Node &node)
+{
+    checkKeys(node, { "name", "idle", "faults" });
+    Scenario scenario;
+    read(node, "name", scenario.name);
+    read(node, "idle", scenario.idle);
+    for (const auto &entry : node["faults"]) {
+        scenario.faults.push_back(parseFault(entry));
+    }
+    return scenario;
+}
+
+LoadLevel parseLoad(const YAML::Node &node)
+{
+    checkKeys(node, { "name", "calls-per-second", "per-target", "capacity-share" });
+    LoadLevel load;
+    read(node, "name", load.name);
+    read(node, "calls-per-second", load.callsPerSecond);
+    read(node, "per-target", load.perTarget);
+    read(node, "capacity-share", load.capacityShare);
+    return load;
+}
+
+Check parseCheck(const YAML::Node &node)
+{
+    checkKeys(node, { "name", "measure", "relation", "variant", "baseline", "scenarios", "loads", "at-most" });
+    Check check;
+    read(node, "name", check.name);
+    read(node, "measure", check.measure);
+    readName(node, "relation", check.relation);
+    read(node, "variant", check.variant);
+    read(node, "baseline", check.baseline);
+    read(node, "scenarios", check.scenarios);
+    read(node, "loads", check.loads);
+    check.atMost = node["at-most"].as<double>();
+    return check;
+}
+
+template<typename T, typename Parse>
+void readList(const YAML::Node &node, const char *key, std::vector<T> &list, Parse parse)
+{
+    for (const auto &entry : node[key]) {
+        list.push_back(parse(entry));
+    }
+}
+
+std::size_t targetCount(const Experiment &experiment)
+{
+    std::size_t count = 0;
+    for (const ServiceSpec &service : experiment.cluster.services) {
+        count += service.targets;
+    }
+    return count;
+}
+
+void validate(const Experiment &experiment)
+{
+    if (experiment.variants.empty() || experiment.loads.empty() || experiment.calls.empty() || experiment.rounds == 0) {
+        throw std::runtime_error("variants, loads, calls and rounds are needed");
+    }
+    for (const CallKind &call : experiment.calls) {
+        const auto &services = experiment.cluster.services;
+        if (std::none_of(services.begin(), services.end(), [&](const ServiceSpec &service) { return service.name == call.service; })) {
+            throw std::runtime_error("a call names the unknown service '" + call.service + "'");
+        }
+    }
+    for (const Scenario &scenario : experiment.scenarios) {
+        for (const FaultSpec &fault : scenario.faults) {
+            if (fault.target.value_or(0) >= targetCount(experiment)) {
+                throw std::runtime_error("scenario '" + scenario.name + "' names a target that doesn't exist");
+            }
+        }
+    }
+}
+
+Experiment parseExperiment(const YAML::Node &node)
+{
+    checkKeys(node,
+              { "name", "description", "seed", "rounds", "warm-up-ms", "length-ms", "senders", "deadline-ms", "resends", "cluster", "calls", "variants", "scenarios",
+                "loads", "targets" });
+    Experiment experiment;
+    read(node, "name", experiment.name);
+    read(node, "description", experiment.description);
+    read(node, "seed", experiment.seed);
+    read(node, "rounds", experiment.rounds);
+    readMs(node, "warm-up-ms", experiment.warmUp);
+    readMs(node, "length-ms", experiment.length);
+    read(node, "senders", experiment.senders);
+    readMs(node, "deadline-ms", experiment.deadline);
+    read(node, "resends", experiment.resends);
+    experiment.cluster = parseCluster(node["cluster"]);
+    readList(node, "calls", experiment.calls, parseCall);
+    readList(node, "variants", experiment.variants, parseVariant);
+    readList(node, "scenarios", experiment.scenarios, parseScenario);
+    readList(node, "loads", experiment.loads, parseLoad);
+    readList(node, "targets", experiment.checks, parseCheck);
+    if (experiment.scenarios.empty()) {
+        experiment.scenarios.emplace_back();
+    }
+    validate(experiment);
+    return experiment;
+}
+
+void mergeInto(YAML::Node base, const YAML::Node &changes)
+{
+    for (const auto &entry : changes) {
+        const auto key = entry.first.as<std::string>();
+        if (entry.second.IsMap() && base[key] && base[key].IsMap()) {
+            mergeInto(base[key], entry.second);
+        } else {
+            base[key] = entry.second;
+        }
+    }
+}
+
+} // namespace
+
+std::optional<Experiment> ExperimentParser::parse(const std::string &text)
+{
+    try {
+        return parseExperiment(YAML::Load(text));
+    } catch (const std::exception &error) {
+        return LastReason<ExperimentFault>::fail({ error.what() });
+    }
+}
+
+std::string ExperimentParser::merge(const std::string &base, const std::string &changes)
+{
+    YAML::Node merged = base.empty() ? YAML::Node(YAML::NodeType::Map) : YAML::Load(base);
+    if (!changes.empty()) {
+        mergeInto(merged, YAML::Load(changes));
+    }
+    return YAML::Dump(merged);
+}
+
+} // namespace carobjunction::bench
--- /dev/null
+++ b/bench/faultschedule.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "fault.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <numeric>
+#include <random>
+#include <vector>
+
+namespace carobjunction::bench
+{
+
+namespace detail
+{
+
+inline void addStragglers(std::vector<FaultAction> &actions, const FaultSpec &spec, std::size_t targets, Duration end, std::mt19937_64 &rng)
+{
+    using Seconds = std::chrono::duration<double>;
+    std::exponential_distribution<double> gap(1 / Seconds(spec.meanGap).count());
+    std::uniform_real_distribution<double> length(Seconds(spec.shortest).count(), Seconds(spec.longest).count());
+    std::uniform_int_distribution<std::size_t> pick(0, targets - 1);
+    const Duration last = spec.length > Duration::zero() ? std::min(end, spec.at + spec.length) : end;
+    for (Duration at = spec.at;;) {
+        at += std::chrono::duration_cast<Duration>(Seconds(gap(rng)));
+        if (at >= last) {
+            return;
+        }
+        const auto slowFor = std::chrono::duration_cast<Duration>(Seconds(length(rng)));
+        actions.push_back({ FaultKind::Straggler, at, slowFor, spec.target.value_or(pick(rng)), spec.factor, 0 });
+    }
+}
+
+} // namespace detail
+
+/**
+ * Expands the disturbances of an experiment into single actions, equal for equal seeds.
+ * @param specs  disturbances
+ * @param targets  number of targets, at least 1
+ * @param end  end of the run
+ * @param seed  seed of the random choices
+ * @return actions by time
+ */
+inline std::vector<FaultAction> faultSchedule(const std::vector<FaultSpec> &specs, std::size_t targets, Duration end, uint64_t seed)
+{
+    std::mt19937_64 rng(seed);
+    std::vector<FaultAction> actions;
+    for (const FaultSpec &spec : specs) {
+        if (spec.kind == FaultKind::Straggler) {
+            detail::addStragglers(actions, spec, targets, end, rng);
+            continue;
+        }
+        std::vector<std::size_t> order(targets);
+        std::iota(order.begin(), order.end(), 0);
+        std::shuffle(order.begin(), order.end(), rng);
+        if (spec.target) {
+            order.assign(1, *spec.target);
+        } else {
+            order.resize(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(spec.share * static_cast<double>(targets)))));
+        }
+        for (const std::size_t target : order) {
+            actions.push_back({ spec.kind, spec.at, spec.length, target, spec.factor, spec.status });
+        }
+    }
+    std::stable_sort(actions.begin(), actions.end(), [](const FaultAction &a, const FaultAction &b) { return a.at < b.at; });
+    return actions;
+}
+
+} // namespace carobjunction::bench
--- a/tools/standin-backend/backendserver.cpp
+++ b/tools/standin-backend/backendserver.cpp
@@ -18,8 +18,6 @@
 namespace
 {
 
-// A kept-alive connection holds a worker of the HTTP library: 260 connections a target, and spare ones for control.
-constexpr std::size_t WorkerCount = 320;
 // The HTTP library listens with a backlog of 5, which loses connections that are opened in a burst.
 constexpr int ListenBacklog = 512;
 constexpr std::size_t LargestAnswer = 64U << 20U;
--- a/tools/standin-backend/backendserver.h
+++ b/tools/standin-backend/backendserver.h
@@ -28,6 +28,8 @@
     Duration serviceTime = std::chrono::milliseconds(5); /**< Mean. */
     Distribution distribution = Distribution::Constant;
     uint64_t seed = 1;
+    // A kept-alive connection holds a worker of the HTTP library: 260 connections a target, and spare ones for control.
+    uint32_t workers = 320; /**< Connections served at once. */
 };
 
 /** HTTP side of the stand-in backend server. */
--- a/tools/standin-backend/main.cpp
+++ b/tools/standin-backend/main.cpp
@@ -45,6 +45,7 @@
     app.add_option("--service-time-ms", arguments.serviceTimeMs, "mean service time")->capture_default_str()->check(CLI::Range(0.0, 600000.0));
     app.add_option("--distribution", arguments.backend.distribution, "shape of the service times")->transform(CLI::CheckedTransformer(distributions));
     app.add_option("--seed", arguments.backend.seed, "seed of the service times")->capture_default_str();
+    app.add_option("--workers", arguments.backend.workers, "connections served at once")->capture_default_str()->check(CLI::Range(1, 10000));
     app.add_option("--cold-start-ms", arguments.coldMs, "time after the start in which requests are slow")->capture_default_str();
     app.add_option("--cold-factor", arguments.coldFactor, "factor on the service time during the cold start")->capture_default_str();
     app.add_option("--log-file", arguments.logFile, "file descriptor or path that gets a line for each request started");
