--- /dev/null
+++ b/bench/cluster.cpp
@@ -0,0 +1,392 @@
+#include "cluster.h"
+
+#include "experimentparser.h"
+
+#include <carobjunction/process/lastreason.h>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <yaml-cpp/yaml.h>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace carobjunction::bench
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto StartLimit = milliseconds(10000);
+constexpr auto ReadyLimit = milliseconds(60000);
+constexpr auto PublishLimit = milliseconds(15000);
+constexpr auto ReadyPause = milliseconds(50);
+constexpr std::size_t SeedCount = 3;
+
+bool fail(const std::string &message)
+{
+    LastReason<ClusterFault>::fail({ message });
+    return false;
+}
+
+httplib::Client clientFor(const std::string &address)
+{
+    httplib::Client client("http://" + address);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(1);
+    client.set_read_timeout(2);
+    return client;
+}
+
+bool postJson(const std::string &address, const std::string &json)
+{
+    const auto result = clientFor(address).Post("/control", json, "application/json");
+    return result && result->status == 200;
+}
+
+std::string lastLines(const std::string &path)
+{
+    constexpr std::size_t Length = 600;
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    const std::string all = text.str();
+    return all.size() <= Length ? all : all.substr(all.size() - Length);
+}
+
+std::size_t callIn(const std::string &path)
+{
+    const std::string field = "call=";
+    const std::size_t at = path.find(field);
+    std::size_t call = 0;
+    for (std::size_t i = at == std::string::npos ? path.size() : at + field.size(); i < path.size() && std::isdigit(static_cast<unsigned char>(path[i])); ++i) {
+        call = call * 10 + static_cast<std::size_t>(path[i] - '0');
+    }
+    return call;
+}
+
+} // namespace
+
+Cluster::Cluster(const ClusterSpec &spec, const ClusterOptions &options) : m_spec(spec), m_options(options)
+{
+}
+
+std::unique_ptr<Cluster> Cluster::start(const ClusterSpec &spec, const ClusterOptions &options)
+{
+    std::unique_ptr<Cluster> cluster(new Cluster(spec, options));
+    if (!cluster->startAll()) {
+        return nullptr;
+    }
+    return cluster;
+}
+
+bool Cluster::startAll()
+{
+    planNodes();
+    if (m_options.daemons && m_spec.store && !startStore()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_options.daemons && !startDaemon(i)) {
+            return fail("daemon " + m_nodes[i].daemonId + " doesn't start");
+        }
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_options.absent.count(i) == 0 && !startBackend(i)) {
+            return fail("backend server " + std::to_string(i) + " doesn't start");
+        }
+        if (m_options.bare && !startBarePath(i)) {
+            return fail("bare path " + std::to_string(i) + " doesn't start");
+        }
+    }
+    if (!m_options.daemons) {
+        return true;
+    }
+    for (const ServiceSpec &service : m_spec.services) {
+        if (!publish(service)) {
+            return false;
+        }
+    }
+    return waitUntilReady();
+}
+
+void Cluster::planNodes()
+{
+    for (const ServiceSpec &service : m_spec.services) {
+        for (std::size_t i = 0; i < service.targets; ++i) {
+            Node node;
+            node.service = &service;
+            node.dataCentre = service.dataCentres[i % service.dataCentres.size()];
+            for (const auto &[dataCentre, region] : m_spec.dataCentres) {
+                node.region = dataCentre == node.dataCentre ? region : node.region;
+            }
+            node.daemonId = service.name + "-" + std::to_string(i);
+            node.callerAddress = address();
+            node.peerAddress = address();
+            node.operatorAddress = address();
+            node.backendAddress = address();
+            m_endpoints.targetOfDaemon[node.daemonId] = static_cast<int>(m_nodes.size());
+            m_endpoints.daemons.push_back(node.callerAddress);
+            m_endpoints.backends.push_back(node.backendAddress);
+            m_endpoints.regions.push_back(node.region);
+            m_nodes.push_back(std::move(node));
+        }
+    }
+}
+
+std::vector<TargetPlace> Cluster::places() const
+{
+    std::vector<TargetPlace> places;
+    for (const Node &node : m_nodes) {
+        places.push_back({ node.service->name, node.region, node.service->slots, node.service->serviceTimeMs });
+    }
+    return places;
+}
+
+bool Cluster::startStore()
+{
+    m_store = ChildProcess::start({ program("tools/standin-store/carobjunction-standin-store"), "--listen", "127.0.0.1:0" }, file("store.log"));
+    m_storeAddress = m_store ? m_store->waitForAddress(StartLimit) : std::string();
+    return !m_storeAddress.empty() || fail("the stand-in store doesn't start: " + lastLines(file("store.log")));
+}
+
+bool Cluster::startDaemon(std::size_t target)
+{
+    Node &node = m_nodes[target];
+    const std::string settings = file(node.daemonId + ".yaml");
+    std::ofstream(settings) << settingsOf(node);
+    node.daemon = ChildProcess::start({ program("daemon/carobjunctiond"), "--settings", settings }, file(node.daemonId + ".log"));
+    return node.daemon != nullptr;
+}
+
+bool Cluster::startBackend(std::size_t target, double coldMs, double coldFactor)
+{
+    Node &node = m_nodes[target];
+    const ServiceSpec &service = *node.service;
+    std::vector<std::string> arguments {
+        program("tools/standin-backend/carobjunction-standin-backend"),
+        "--listen",
+        node.backendAddress,
+        "--service",
+        service.name,
+        "--slots",
+        std::to_string(service.slots),
+        "--service-time-ms",
+        std::to_string(service.serviceTimeMs),
+        "--distribution",
+        service.distribution,
+        "--seed",
+        std::to_string(target + 1),
+        "--workers",
+        std::to_string(m_spec.backendWorkers),
+        "--log-file",
+        file("runs-" + std::to_string(target)),
+    };
+    if (m_options.daemons) {
+        arguments.insert(arguments.end(), { "--operator", node.operatorAddress });
+    }
+    if (coldMs > 0) {
+        arguments.insert(arguments.end(), { "--cold-start-ms", std::to_string(coldMs), "--cold-factor", std::to_string(coldFactor) });
+    }
+    node.backend = ChildProcess::start(arguments, file("backend-" + std::to_string(target) + ".log"));
+    return node.backend && !node.backend->waitForAddress(StartLimit).empty();
+}
+
+bool Cluster::startBarePath(std::size_t target)
+{
+    Node &node = m_nodes[target];
+    const std::string log = file("bare-" + std::to_string(target) + ".log");
+    const std::string self = program("bench/carobjunction-bench");
+    node.bareOwner = ChildProcess::start({ self, "bare-owner", "--to", node.backendAddress }, log);
+    const std::string owner = node.bareOwner ? node.bareOwner->waitForAddress(StartLimit) : std::string();
+    if (owner.empty()) {
+        return false;
+    }
+    node.bareEntry = ChildProcess::start({ self, "bare-entry", "--to", owner }, log);
+    const std::string entry = node.bareEntry ? node.bareEntry->waitForAddress(StartLimit) : std::string();
+    m_endpoints.bare.push_back(entry);
+    return !entry.empty();
+}
+
+bool Cluster::publish(const ServiceSpec &service) const
+{
+    std::string config = ExperimentParser::merge(service.config, m_options.config);
+    config = ExperimentParser::merge(config, "service: " + service.name);
+    if (!m_options.policy.empty()) {
+        config = ExperimentParser::merge(config, "routing: { policy: " + m_options.policy + " }");
+    }
+    const std::string path = file(service.name + ".config.yaml");
+    std::ofstream(path) << config << '\n';
+    const std::string log = file("publish.log");
+    const auto publisher = ChildProcess::start({ program("cli/carobjunction"), "publish", path, "--store", m_storeAddress, "--publisher", "bench" }, log);
+    if (!publisher || !publisher->waitForExit(PublishLimit) || publisher->status() != 0) {
+        return fail("publishing " + service.name + " failed: " + lastLines(log));
+    }
+    return true;
+}
+
+bool Cluster::waitUntilReady() const
+{
+    const auto end = std::chrono::steady_clock::now() + ReadyLimit;
+    for (const Node &node : m_nodes) {
+        for (const ServiceSpec &service : m_spec.services) {
+            while (!answersCalls(node, service)) {
+                if (std::chrono::steady_clock::now() >= end) {
+                    return fail("daemon " + node.daemonId + " doesn't answer calls to " + service.name + ": " + lastLines(file(node.daemonId + ".log")));
+                }
+                std::this_thread::sleep_for(ReadyPause);
+            }
+        }
+    }
+    return true;
+}
+
+/** Sends a call as callers do, until the daemon knows a configuration and a target of the service. */
+bool Cluster::answersCalls(const Node &node, const ServiceSpec &service) const
+{
+    const YAML::Node config = YAML::Load(service.config);
+    const auto path = config["routes"][0]["path"].as<std::string>();
+    const auto result = clientFor(node.callerAddress).Get(path, { { "Carob-Service", service.name }, { "Carob-Deadline-Ms", "1000" } });
+    return result && (result->status == 200 || m_options.policy == "local-only");
+}
+
+bool Cluster::control(std::size_t target, const std::string &json) const
+{
+    return postJson(m_nodes[target].backendAddress, json);
+}
+
+bool Cluster::controlStore(const std::string &json) const
+{
+    return postJson(m_storeAddress, json);
+}
+
+void Cluster::killBackend(std::size_t target)
+{
+    m_nodes[target].backend.reset();
+}
+
+void Cluster::killDaemon(std::size_t target)
+{
+    m_nodes[target].daemon.reset();
+}
+
+bool Cluster::stopDaemon(std::size_t target, milliseconds limit)
+{
+    const std::unique_ptr<ChildProcess> &daemon = m_nodes[target].daemon;
+    if (!daemon) {
+        return false;
+    }
+    daemon->terminate();
+    return daemon->waitForExit(limit) && daemon->status() == 0;
+}
+
+bool Cluster::isDaemonUp(std::size_t target) const
+{
+    return !metrics(target).empty();
+}
+
+std::map<std::string, double> Cluster::metrics(std::size_t target) const
+{
+    std::map<std::string, double> values;
+    const auto result = clientFor(m_nodes[target].operatorAddress).Get("/metrics");
+    if (!result || result->status != 200) {
+        return values;
+    }
+    std::istringstream text(result->body);
+    for (std::string line; std::getline(text, line);) {
+        const std::size_t space = line.rfind(' ');
+        if (line.empty() || line.front() == '#' || space == std::string::npos) {
+            continue;
+        }
+        values[line.substr(0, space)] = std::strtod(line.c_str() + space, nullptr);
+    }
+    return values;
+}
+
+ProcessUsage Cluster::usage(std::size_t target) const
+{
+    ProcessUsage usage;
+    const std::unique_ptr<ChildProcess> &daemon = m_nodes[target].daemon;
+    if (!daemon) {
+        return usage;
+    }
+    const std::string directory = "/proc/" + std::to_string(daemon->pid());
+    std::string stat;
+    std::getline(std::ifstream(directory + "/stat"), stat);
+    // The second field is the program's name in brackets and may contain spaces; fields 14 and 15 are the processor times in ticks.
+    std::istringstream fields(stat.substr(std::min(stat.size(), stat.rfind(')') + 1)));
+    std::string skipped;
+    for (int i = 3; i < 14; ++i) {
+        fields >> skipped;
+    }
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    usage.cpuSeconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    double pages = 0;
+    std::ifstream(directory + "/statm") >> skipped >> pages;
+    usage.residentMb = pages * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1U << 20U);
+    return usage;
+}
+
+std::vector<std::pair<std::size_t, RunLine>> Cluster::runs() const
+{
+    std::vector<std::pair<std::size_t, RunLine>> lines;
+    for (std::size_t target = 0; target < m_nodes.size(); ++target) {
+        std::ifstream log(file("runs-" + std::to_string(target)));
+        for (std::string text; std::getline(log, text);) {
+            const auto json = nlohmann::json::parse(text, nullptr, false);
+            const auto path = json.is_object() ? json.value("path", std::string()) : std::string();
+            if (path.find("call=") != std::string::npos) {
+                lines.emplace_back(target, RunLine { json.value("request_id", std::string()), json.value("key", std::string()), callIn(path) });
+            }
+        }
+    }
+    return lines;
+}
+
+std::string Cluster::address()
+{
+    return "127.0.0.1:" + std::to_string(m_ports.next());
+}
+
+std::string Cluster::program(const std::string &relative) const
+{
+    return m_options.binaries + "/" + relative;
+}
+
+std::string Cluster::file(const std::string &name) const
+{
+    return m_options.directory + "/" + name;
+}
+
+std::string Cluster::settingsOf(const Node &node) const
+{
+    YAML::Node settings = m_spec.daemonSettings.empty() ? YAML::Node(YAML::NodeType::Map) : YAML::Load(m_spec.daemonSettings);
+    settings["daemon"] = node.daemonId;
+    settings["region"] = node.region;
+    settings["data-centre"] = node.dataCentre;
+    settings["service"] = node.service->name;
+    settings["caller-address"] = node.callerAddress;
+    settings["peer-address"] = node.peerAddress;
+    settings["operator-address"] = node.operatorAddress;
+    settings["peer-security"] = "plaintext";
+    if (!m_storeAddress.empty()) {
+        settings["store-address"] = m_storeAddress;
+    }
+    for (std::size_t i = 0; i < std::min(SeedCount, m_nodes.size()); ++i) {
+        if (m_nodes[i].peerAddress != node.peerAddress) {
+            settings["seeds"].push_back(m_nodes[i].peerAddress);
+        }
+    }
+    return YAML::Dump(settings) + "\n";
+}
+
+} // namespace carobjunction::bench
--- a/bench/experimentparser.cpp
+++ b/bench/experimentparser.cpp
@@ -228,8 +228,21 @@
 Experiment parseExperiment(const YAML::Node &node)
 {
     checkKeys(node,
-              { "name", "description", "seed", "rounds", "warm-up-ms", "length-ms", "senders", "deadline-ms", "resends", "cluster", "calls", "variants", "scenarios",
-                "loads", "targets" });
+              { "name",
+                "description",
+                "seed",
+                "rounds",
+                "warm-up-ms",
+                "length-ms",
+                "senders",
+                "deadline-ms",
+                "resends",
+                "cluster",
+                "calls",
+                "variants",
+                "scenarios",
+                "loads",
+                "targets" });
     Experiment experiment;
     read(node, "name", experiment.name);
     read(node, "description", experiment.description);
--- a/bench/fault.h
+++ b/bench/fault.h
@@ -30,10 +30,14 @@
 template<>
 struct EnumNames<bench::FaultKind> {
     static constexpr std::pair<bench::FaultKind, std::string_view> Table[] = {
-        { bench::FaultKind::Straggler, "straggler" },     { bench::FaultKind::Slow, "slow" },
-        { bench::FaultKind::FailFast, "fail-fast" },      { bench::FaultKind::ColdStart, "cold-start" },
-        { bench::FaultKind::Kill, "kill" },               { bench::FaultKind::KillDaemon, "kill-daemon" },
-        { bench::FaultKind::Leave, "leave" },             { bench::FaultKind::StoreOutage, "store-outage" },
+        { bench::FaultKind::Straggler, "straggler" },
+        { bench::FaultKind::Slow, "slow" },
+        { bench::FaultKind::FailFast, "fail-fast" },
+        { bench::FaultKind::ColdStart, "cold-start" },
+        { bench::FaultKind::Kill, "kill" },
+        { bench::FaultKind::KillDaemon, "kill-daemon" },
+        { bench::FaultKind::Leave, "leave" },
+        { bench::FaultKind::StoreOutage, "store-outage" },
         { bench::FaultKind::RollingRestart, "rolling-restart" },
     };
 };
--- /dev/null
+++ b/bench/jsonreport.cpp
@@ -0,0 +1,98 @@
+#include "jsonreport.h"
+
+#include "loadseries.h"
+#include "quantiles.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace carobjunction::bench
+{
+
+namespace
+{
+
+constexpr std::size_t SeriesIntervals = 60;
+
+double rounded(double value)
+{
+    return std::round(value * 1e4) / 1e4;
+}
+
+nlohmann::json quantilesOf(const Cell &cell, Duration warmUp)
+{
+    std::vector<double> latencies;
+    for (const auto &round : cell.rounds) {
+        for (const Sample &sample : round) {
+            if (sample.plan.at >= warmUp && sample.isGood()) {
+                latencies.push_back(sample.latencyMs());
+            }
+        }
+    }
+    const Quantiles quantiles(std::move(latencies));
+    nlohmann::json list = nlohmann::json::array();
+    for (const double share : { 0.01, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 0.9999, 1.0 }) {
+        list.push_back({ share, rounded(quantiles.at(share)) });
+    }
+    return list;
+}
+
+nlohmann::json seriesOf(const Cell &cell)
+{
+    nlohmann::json json = nlohmann::json::object();
+    if (!cell.rounds.empty()) {
+        const LoadSeries series = LoadSeries::of(cell.rounds.front(), SeriesIntervals);
+        json["interval_s"] = rounded(series.intervalS);
+        for (const auto &[target, values] : series.targets) {
+            for (const double value : values) {
+                json["targets"][std::to_string(target)].push_back(rounded(value));
+            }
+        }
+    }
+    return json;
+}
+
+nlohmann::json cellToJson(const Cell &cell, Duration warmUp)
+{
+    return { { "scenario", cell.scenario },
+             { "load", cell.load },
+             { "variant", cell.variant },
+             { "figures", cell.figures },
+             { "rounds", cell.roundFigures },
+             { "good_latency_quantiles_ms", quantilesOf(cell, warmUp) },
+             { "calls_in_progress_by_target", seriesOf(cell) } };
+}
+
+} // namespace
+
+std::string JsonReport::write(const Results &results)
+{
+    const Experiment &experiment = *results.experiment;
+    nlohmann::json json { { "experiment", experiment.name },
+                          { "description", experiment.description },
+                          { "seed", experiment.seed },
+                          { "command", results.command },
+                          { "machine", results.machine },
+                          { "started_at", results.startedAt },
+                          { "remark", results.remark },
+                          { "quantiles", "exact: every sample is kept; nearest rank" },
+                          { "latency", "from the planned time of the call to its answer; in p..-ms a call without a good answer counts as its deadline" },
+                          { "failures", results.failures },
+                          { "cells", nlohmann::json::array() },
+                          { "judgements", nlohmann::json::array() } };
+    for (const Cell &cell : results.cells) {
+        json["cells"].push_back(cellToJson(cell, experiment.warmUp));
+    }
+    for (const Judgement &judgement : results.judgements) {
+        json["judgements"].push_back({ { "name", judgement.name },
+                                       { "scenario", judgement.scenario },
+                                       { "load", judgement.load },
+                                       { "measured", judgement.measurable ? nlohmann::json(judgement.measured) : nlohmann::json() },
+                                       { "at_most", judgement.atMost },
+                                       { "met", judgement.isMet() } });
+    }
+    return json.dump(1) + '\n';
+}
+
+} // namespace carobjunction::bench
--- /dev/null
+++ b/bench/loadgenerator.cpp
@@ -0,0 +1,185 @@
+#include "loadgenerator.h"
+
+#include "../tools/standin-backend/answerbody.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobjunction::bench
+{
+
+namespace
+{
+
+constexpr auto ResendPause = std::chrono::milliseconds(100);
+// The daemon answers by the deadline; the caller waits a little longer for that answer.
+constexpr auto AnswerMargin = std::chrono::milliseconds(1000);
+
+std::vector<std::unique_ptr<ConnectionPool>> makePools(const std::vector<std::string> &addresses, Duration deadline)
+{
+    std::vector<std::unique_ptr<ConnectionPool>> pools;
+    for (const std::string &address : addresses) {
+        pools.push_back(std::make_unique<ConnectionPool>(address, std::chrono::duration_cast<std::chrono::milliseconds>(deadline) + AnswerMargin));
+    }
+    return pools;
+}
+
+} // namespace
+
+LoadGenerator::LoadGenerator(const Experiment &experiment, const Endpoints &endpoints, TargetView &view, Duration regionDelay, std::string runId)
+    : m_experiment(experiment)
+    , m_endpoints(endpoints)
+    , m_view(view)
+    , m_regionDelay(regionDelay)
+    , m_runId(std::move(runId))
+    , m_daemonPools(makePools(endpoints.daemons, experiment.deadline))
+    , m_backendPools(makePools(endpoints.backends, experiment.deadline))
+    , m_barePools(makePools(endpoints.bare, experiment.deadline))
+{
+}
+
+LoadGenerator::~LoadGenerator()
+{
+    stop();
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void LoadGenerator::start(const std::vector<PlannedCall> &plan)
+{
+    m_samples.resize(plan.size());
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        m_samples[i].plan = plan[i];
+    }
+    m_startedAt = std::chrono::steady_clock::now();
+    const std::size_t senders = std::min(m_experiment.senders, plan.size());
+    for (std::size_t i = 0; i < senders; ++i) {
+        m_threads.emplace_back([this] { sendLoop(); });
+    }
+}
+
+std::vector<Sample> LoadGenerator::finish()
+{
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    return std::move(m_samples);
+}
+
+std::string LoadGenerator::pathOf(const CallKind &kind, std::size_t call)
+{
+    return kind.path + "?call=" + std::to_string(call) + "&bytes=" + std::to_string(kind.answerBytes);
+}
+
+void LoadGenerator::sendLoop()
+{
+    for (std::size_t index = m_next++; index < m_samples.size(); index = m_next++) {
+        Sample &sample = m_samples[index];
+        std::this_thread::sleep_until(m_startedAt + sample.plan.at);
+        if (!m_stopping) {
+            sample.sent = std::chrono::steady_clock::now() - m_startedAt;
+            send(index, sample);
+            sample.answered = std::chrono::steady_clock::now() - m_startedAt;
+        }
+        ++m_finished;
+    }
+}
+
+void LoadGenerator::send(std::size_t index, Sample &sample)
+{
+    if (m_experiment.variants[sample.plan.variant].policy == "oracle") {
+        sendChosen(index, sample);
+        return;
+    }
+    const CallKind &kind = m_experiment.calls[sample.plan.kind];
+    for (uint32_t attempt = 0;; ++attempt) {
+        const bool answered = sendOnce(index, sample, poolOf(sample, attempt));
+        // A refused connection proves that nothing was sent, so any caller goes on to another daemon. Other losses are sent again only under a key.
+        const bool mayResend = !answered && (sample.reason == "Connection" || kind.keyed || kind.idempotent);
+        if (!mayResend || attempt >= m_experiment.resends || m_stopping) {
+            return;
+        }
+        std::this_thread::sleep_for(ResendPause);
+    }
+}
+
+void LoadGenerator::sendChosen(std::size_t index, Sample &sample)
+{
+    const std::string &region = m_endpoints.regions[sample.plan.entry];
+    const double regionCostMs = 2 * std::chrono::duration<double, std::milli>(m_regionDelay).count();
+    const std::size_t target = m_view.choose(m_experiment.calls[sample.plan.kind].service, region, regionCostMs);
+    const Duration delay = m_endpoints.regions[target] == region ? Duration::zero() : m_regionDelay;
+    std::this_thread::sleep_for(delay);
+    sendOnce(index, sample, *m_daemonPools[target]);
+    m_view.finish(target);
+    std::this_thread::sleep_for(delay);
+}
+
+ConnectionPool &LoadGenerator::poolOf(const Sample &sample, std::size_t attempt)
+{
+    switch (m_experiment.variants[sample.plan.variant].path) {
+    case CallPath::Direct:
+        return *m_backendPools[sample.plan.entry];
+    case CallPath::Bare:
+        return *m_barePools[sample.plan.entry];
+    case CallPath::Routed:
+    case CallPath::Own:
+    case CallPath::Other:
+        break;
+    }
+    return *m_daemonPools[(sample.plan.entry + attempt) % m_daemonPools.size()];
+}
+
+bool LoadGenerator::sendOnce(std::size_t index, Sample &sample, ConnectionPool &pool)
+{
+    const CallKind &kind = m_experiment.calls[sample.plan.kind];
+    ConnectionPool::Lease client = pool.lease();
+    httplib::Request request;
+    request.method = kind.method;
+    request.path = pathOf(kind, index);
+    request.headers = headersOf(index, sample);
+    request.body = kind.body;
+    const httplib::Result result = client->send(request);
+    ++sample.sends;
+    if (!result) {
+        client.discard();
+        sample.status = 0;
+        sample.outcome.clear();
+        sample.reason = httplib::to_string(result.error());
+        return false;
+    }
+    readAnswer(*result, sample);
+    sample.wrongAnswer = sample.isGood() && result->body != standin::answerBody(sample.requestId, kind.answerBytes);
+    return true;
+}
+
+httplib::Headers LoadGenerator::headersOf(std::size_t index, const Sample &sample) const
+{
+    const CallKind &kind = m_experiment.calls[sample.plan.kind];
+    httplib::Headers headers {
+        { "Carob-Service", kind.service },
+        { "Carob-Deadline-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_experiment.deadline).count()) },
+    };
+    if (kind.keyed) {
+        headers.emplace("Idempotency-Key", m_runId + "-" + std::to_string(index));
+    }
+    const CallPath path = m_experiment.variants[sample.plan.variant].path;
+    if (path == CallPath::Direct || path == CallPath::Bare) {
+        headers.emplace("Carob-Request-Id", "bench-" + m_runId + "-" + std::to_string(index));
+    }
+    return headers;
+}
+
+void LoadGenerator::readAnswer(const httplib::Response &response, Sample &sample) const
+{
+    sample.status = response.status;
+    sample.outcome = response.get_header_value("Carob-Outcome");
+    sample.reason = response.get_header_value("Carob-Reason");
+    sample.requestId = response.get_header_value("Carob-Request-Id");
+    const auto target = m_endpoints.targetOfDaemon.find(response.get_header_value("Carob-Target"));
+    sample.target = target == m_endpoints.targetOfDaemon.end() ? -1 : target->second;
+}
+
+} // namespace carobjunction::bench
--- /dev/null
+++ b/bench/loadseries.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "sample.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace carobjunction::bench
+{
+
+/** Calls in progress per target over time, as means over equal intervals. */
+struct LoadSeries {
+    double intervalS = 0;
+    std::map<int, std::vector<double>> targets; /**< One value an interval. */
+
+    /**
+     * @param samples  calls of one run
+     * @param intervals  number of intervals
+     */
+    static LoadSeries of(const std::vector<Sample> &samples, std::size_t intervals)
+    {
+        using Seconds = std::chrono::duration<double>;
+        LoadSeries series;
+        double end = 0;
+        for (const Sample &sample : samples) {
+            end = std::max(end, Seconds(sample.plan.at).count());
+        }
+        series.intervalS = end / static_cast<double>(intervals);
+        for (const Sample &sample : samples) {
+            if (sample.target < 0 || series.intervalS <= 0) {
+                continue;
+            }
+            std::vector<double> &values = series.targets[sample.target];
+            values.resize(intervals);
+            const double from = Seconds(sample.sent).count() / series.intervalS;
+            const double to = Seconds(sample.answered).count() / series.intervalS;
+            for (auto i = static_cast<std::size_t>(from); i < intervals && static_cast<double>(i) < to; ++i) {
+                const auto start = static_cast<double>(i);
+                values[i] += std::min(to, start + 1) - std::max(from, start);
+            }
+        }
+        return series;
+    }
+};
+
+} // namespace carobjunction::bench
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,276 @@
+#include "barepath.h"
+#include "experimentparser.h"
+#include "htmlreport.h"
+#include "jsonreport.h"
+#include "phaserunner.h"
+#include "results.h"
+
+#include <carobjunction/process/lastreason.h>
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+using namespace carobjunction;
+using namespace carobjunction::bench;
+
+namespace
+{
+
+volatile std::sig_atomic_t stopRequested = 0;
+
+void requestStop(int)
+{
+    stopRequested = 1;
+}
+
+struct Arguments {
+    std::string experimentFile;
+    std::string output = "bench-results";
+    std::string remark;
+    std::size_t rounds = 0;
+    double seconds = 0;
+    uint64_t seed = 0;
+    bool keep = false;
+    bool judge = false;
+    std::vector<std::string> scenarios;
+    std::vector<std::string> loads;
+    std::vector<std::string> variants;
+    std::string to;
+};
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+template<typename T>
+void keepNamed(std::vector<T> &list, const std::vector<std::string> &names)
+{
+    list.erase(std::remove_if(
+                   list.begin(), list.end(), [&](const T &item) { return !names.empty() && std::find(names.begin(), names.end(), item.name) == names.end(); }),
+               list.end());
+}
+
+std::optional<Experiment> readExperiment(const Arguments &arguments)
+{
+    auto experiment = ExperimentParser::parse(readFile(arguments.experimentFile));
+    if (!experiment) {
+        std::cerr << arguments.experimentFile << ": " << LastReason<ExperimentFault>::get().message << '\n';
+        return std::nullopt;
+    }
+    experiment->rounds = arguments.rounds > 0 ? arguments.rounds : experiment->rounds;
+    experiment->seed = arguments.seed > 0 ? arguments.seed : experiment->seed;
+    if (arguments.seconds > 0) {
+        experiment->length = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(arguments.seconds));
+    }
+    keepNamed(experiment->scenarios, arguments.scenarios);
+    keepNamed(experiment->loads, arguments.loads);
+    keepNamed(experiment->variants, arguments.variants);
+    if (experiment->scenarios.empty() || experiment->loads.empty() || experiment->variants.empty()) {
+        std::cerr << "nothing is left after --scenario, --load and --variant\n";
+        return std::nullopt;
+    }
+    return experiment;
+}
+
+std::string machineName()
+{
+    std::ifstream info("/proc/cpuinfo");
+    std::string model = "unknown processor";
+    for (std::string line; std::getline(info, line);) {
+        if (line.rfind("model name", 0) == 0) {
+            model = line.substr(line.find(':') + 2);
+            break;
+        }
+    }
+    std::string load;
+    std::getline(std::ifstream("/proc/loadavg"), load);
+    return model + ", " + std::to_string(std::thread::hardware_concurrency()) + " cores; load average at the start " + load;
+}
+
+std::string timeNow()
+{
+    const std::time_t now = std::time(nullptr);
+    std::ostringstream text;
+    text << std::put_time(std::gmtime(&now), "%Y-%m-%dT%H:%M:%SZ");
+    return text.str();
+}
+
+/** Variants that differ only in the path share a cluster and a run; the others get runs of their own. */
+std::vector<std::vector<std::size_t>> groupVariants(const Experiment &experiment)
+{
+    std::vector<std::vector<std::size_t>> groups;
+    for (std::size_t i = 0; i < experiment.variants.size(); ++i) {
+        const Variant &variant = experiment.variants[i];
+        const auto group = std::find_if(groups.begin(), groups.end(), [&](const std::vector<std::size_t> &members) {
+            const Variant &first = experiment.variants[members.front()];
+            return first.path != CallPath::Routed && variant.path != CallPath::Routed && first.policy == variant.policy && first.config == variant.config
+                && first.targets == variant.targets;
+        });
+        if (group != groups.end()) {
+            group->push_back(i);
+        } else {
+            groups.push_back({ i });
+        }
+    }
+    return groups;
+}
+
+void runPhase(Results &results, PhaseRunner &runner, const Phase &phase)
+{
+    const Experiment &experiment = *results.experiment;
+    std::string names;
+    for (const std::size_t variant : phase.variants) {
+        names += ' ' + experiment.variants[variant].name;
+    }
+    const std::string title = "round " + std::to_string(phase.round + 1) + ", " + phase.scenario->name + ", load " + phase.load->name + ":" + names;
+    std::cerr << title << std::flush;
+    auto result = runner.run(phase);
+    if (!result) {
+        results.failures.push_back(title + ": " + LastReason<ClusterFault>::get().message);
+        std::cerr << "  FAILED: " << LastReason<ClusterFault>::get().message << '\n';
+        return;
+    }
+    for (const std::size_t variant : phase.variants) {
+        Cell &cell = results.cell(phase.scenario->name, phase.load->name, experiment.variants[variant].name);
+        Figures &figures = result->figures[variant];
+        std::cerr << std::setprecision(4) << "  | " << figures["calls"] << " calls, p50 " << figures["p50-ms"] << " ms, p99 " << figures["p99-ms"]
+                  << " ms, failed " << figures["failed-share"];
+        cell.rounds.push_back(std::move(result->samples[variant]));
+        cell.roundFigures.push_back(std::move(figures));
+    }
+    std::cerr << '\n';
+}
+
+void runAll(Results &results, PhaseRunner &runner)
+{
+    const Experiment &experiment = *results.experiment;
+    const auto groups = groupVariants(experiment);
+    for (std::size_t round = 0; round < experiment.rounds; ++round) {
+        for (const Scenario &scenario : experiment.scenarios) {
+            for (const LoadLevel &load : experiment.loads) {
+                for (std::size_t i = 0; i < groups.size() && stopRequested == 0; ++i) {
+                    // Each round starts with another variant, so that drift of the machine doesn't favour one.
+                    runPhase(results, runner, { &scenario, &load, groups[(i + round) % groups.size()], round });
+                }
+            }
+        }
+    }
+}
+
+bool writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream file(path);
+    file << text;
+    file.close();
+    if (!file) {
+        std::cerr << "cannot write " << path << '\n';
+        return false;
+    }
+    std::cerr << "wrote " << path << '\n';
+    return true;
+}
+
+void printJudgements(const Results &results)
+{
+    for (const Judgement &judgement : results.judgements) {
+        std::cout << (judgement.isMet()          ? "met     "
+                          : judgement.measurable ? "MISSED  "
+                                                 : "no data ")
+                  << judgement.name << " (" << judgement.scenario << ", load " << judgement.load << "): " << judgement.measured << ", at most "
+                  << judgement.atMost << '\n';
+    }
+}
+
+int runExperiment(const Arguments &arguments, const std::string &command)
+{
+    const auto experiment = readExperiment(arguments);
+    if (!experiment) {
+        return 2;
+    }
+    std::string directory = (std::filesystem::temp_directory_path() / "carobjunction-bench-XXXXXX").string();
+    if (::mkdtemp(directory.data()) == nullptr) {
+        std::cerr << "cannot create a directory for the runs\n";
+        return 1;
+    }
+    const std::string binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path().string();
+    Results results;
+    results.experiment = &*experiment;
+    results.command = command;
+    results.machine = machineName();
+    results.startedAt = timeNow();
+    results.remark = arguments.remark;
+    PhaseRunner runner(*experiment, binaries, directory, [] { return stopRequested != 0; });
+    runAll(results, runner);
+    results.conclude();
+    printJudgements(results);
+    const bool isWritten
+        = writeFile(arguments.output + ".json", JsonReport::write(results)) && writeFile(arguments.output + ".html", HtmlReport::write(results));
+    if (arguments.keep) {
+        std::cerr << "files of the runs are in " << directory << '\n';
+    } else {
+        std::filesystem::remove_all(directory);
+    }
+    if (!isWritten || !results.failures.empty() || stopRequested != 0) {
+        return 1;
+    }
+    const bool isMet = std::all_of(results.judgements.begin(), results.judgements.end(), [](const Judgement &judgement) { return judgement.isMet(); });
+    return arguments.judge && !isMet ? 3 : 0;
+}
+
+void addRunOptions(CLI::App &run, Arguments &arguments)
+{
+    run.add_option("experiment", arguments.experimentFile, "experiment file (YAML)")->required()->check(CLI::ExistingFile);
+    run.add_option("--output", arguments.output, "path of the results without .json and .html")->capture_default_str();
+    run.add_option("--remark", arguments.remark, "circumstances of the run, for the results");
+    run.add_option("--rounds", arguments.rounds, "replaces the number of rounds");
+    run.add_option("--seconds", arguments.seconds, "replaces the length of each run");
+    run.add_option("--seed", arguments.seed, "replaces the seed");
+    run.add_option("--scenario", arguments.scenarios, "only these scenarios");
+    run.add_option("--load", arguments.loads, "only these loads");
+    run.add_option("--variant", arguments.variants, "only these variants");
+    run.add_flag("--keep", arguments.keep, "keep settings and logs of the runs");
+    run.add_flag("--judge", arguments.judge, "exit with status 3 if a stated target is missed");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Experiments with real daemons and stand-ins on this machine");
+    app.require_subcommand(1);
+    Arguments arguments;
+    CLI::App *run = app.add_subcommand("run", "Run an experiment");
+    addRunOptions(*run, arguments);
+    CLI::App *entry = app.add_subcommand("bare-entry", "First process of the bare path; started by the bench");
+    CLI::App *owner = app.add_subcommand("bare-owner", "Second process of the bare path; started by the bench");
+    entry->add_option("--to", arguments.to, "address of the second process")->required();
+    owner->add_option("--to", arguments.to, "address of the backend server")->required();
+    CLI11_PARSE(app, argc, argv);
+    if (entry->parsed()) {
+        return BarePath::runEntry(arguments.to);
+    }
+    if (owner->parsed()) {
+        return BarePath::runOwner(arguments.to);
+    }
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGTERM, requestStop);
+    std::string command = "carobjunction-bench";
+    for (int i = 1; i < argc; ++i) {
+        command += ' ' + std::string(argv[i]);
+    }
+    return runExperiment(arguments, command);
+}
