--- a/tests/process/storeclienttest.cpp
+++ b/tests/process/storeclienttest.cpp
@@ -1,6 +1,7 @@
 #include "process/storeclient.h"
 
 #include "../../tools/standin-store/standinserver.h"
+#include "scriptedstore.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,15 +10,6 @@
 namespace
 {
 
-struct ManualClock {
-    TimePoint time {};
-
-    TimePoint now() const
-    {
-        return time;
-    }
-};
-
 /** Stand-in store on a port of its own. */
 class RunningStandin
 {
