Add the daemon: entry, admission, peer, caller and operator ports

Cause: the parts had no process around them; no request was served from end to end. Change: EntryService and EntrySession drive the attempt planner against the target table; AdmissionService runs admitted requests on the backend server and finds crashed requests; gRPC peer channels and server with mutual TLS; cpp-httplib caller and operator ports; Prometheus metrics; decision records for explain; drain on a signal or when the backend server leaves. A resend that arrives within about 10 ms of the first answer still sees an unresolved claim.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,7 +1,106 @@
+#include "process/daemon.h"
 #include "process/eventlog.h"
+#include "process/settingsparser.h"
 
-int main()
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace carobjunction;
+
+namespace
+{
+
+constexpr int ExitOk = 0;
+constexpr int ExitDrainLimit = 1;
+constexpr int ExitSettings = 2;
+constexpr int ExitPorts = 3;
+constexpr long LeavePollNanoseconds = 20'000'000;
+constexpr std::chrono::milliseconds AnnounceLeaveTime(1000);
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+std::optional<Settings> loadSettings(const std::string &path)
+{
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    SettingsResult result = SettingsParser::parse(*text, path);
+    for (const ConfigFault &fault : result.faults) {
+        std::cerr << fault.file << ':' << fault.line << ':' << fault.column << ": " << fault.field << ": " << fault.reason << '\n';
+    }
+    return std::move(result.settings);
+}
+
+// Blocks the signals in all threads started later, so that only waitForEnd() receives them.
+sigset_t blockEndSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+// Returns when a signal asks for the end or the backend server says that it is leaving.
+std::string waitForEnd(const sigset_t &signals, const Daemon &daemon)
+{
+    const timespec interval { 0, LeavePollNanoseconds };
+    while (!daemon.isLeaving()) {
+        if (sigtimedwait(&signals, nullptr, &interval) > 0) {
+            return "signal";
+        }
+    }
+    return "backend-server-leaving";
+}
+
+int run(Settings settings)
+{
+    const sigset_t signals = blockEndSignals();
+    EventLog::initialise(settings.logLevel);
+    Daemon daemon(std::move(settings));
+    if (!daemon.start()) {
+        return ExitPorts;
+    }
+    const std::string cause = waitForEnd(signals, daemon);
+    EventLog::write(LogLevel::Info, Event::DaemonStopping, { { "cause", cause } });
+    const DrainResult result = daemon.drain(AnnounceLeaveTime);
+    daemon.stop();
+    EventLog::write(LogLevel::Info, Event::DaemonStopped, { { "cause", result == DrainResult::Drained ? "drained" : "drain-limit" } });
+    return result == DrainResult::Drained ? ExitOk : ExitDrainLimit;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
 {
-    carobjunction::EventLog::initialise(carobjunction::LogLevel::Info);
-    return 0;
+    CLI::App app("Daemon of the carobjunction load balancer, one beside each backend server.\n"
+                 "Exit codes: 0 drained, 1 drain limit reached, 2 faulty settings, 3 a port is taken.");
+    std::string settingsPath;
+    app.add_option("--settings", settingsPath, "YAML file with the settings of this process")->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        const int code = app.exit(error);
+        return code == 0 ? ExitOk : ExitSettings;
+    }
+    std::optional<Settings> settings = loadSettings(settingsPath);
+    return settings ? run(std::move(*settings)) : ExitSettings;
 }
--- /dev/null
+++ b/examples/embed-routing/main.cpp
@@ -0,0 +1,42 @@
+// Embeds the routing decision: a program that knows its targets asks the library which one to call next.
+
+#include <carobjunction/process/targettable.h>
+
+#include <iostream>
+
+using namespace carobjunction;
+
+int main()
+{
+    const SteadyClock clock;
+    TargetTable<SteadyClock> table(clock, "client", "pilbara", "pil-a", 1);
+    ServiceConfig config;
+    config.service = "ordering";
+    std::vector<TargetInfo> targets;
+    for (const char *daemon : {"ordering-1", "ordering-2", "ordering-3"}) {
+        TargetInfo target;
+        target.daemon = daemon;
+        target.incarnation = 1;
+        target.region = "pilbara";
+        target.dataCentre = "pil-a";
+        target.service = config.service;
+        target.slots = 9;
+        targets.push_back(target);
+    }
+    table.setTargets(config.service, targets);
+
+    for (int call = 0; call < 5; ++call) {
+        const std::optional<RouteChoice> choice = table.choose(config, {});
+        if (!choice) {
+            std::cerr << "no target: " << nameOf(LastReason<RouteError>::get()) << '\n';
+            return 1;
+        }
+        std::cout << "call " << call << " -> " << choice->target.daemon << " (" << choice->why << ")\n";
+        AttemptReport report;
+        report.outcome = Outcome::Ran;
+        report.status = 200;
+        report.latency = std::chrono::milliseconds(20);
+        table.finished(config.service, choice->target.daemon, choice->target.incarnation, report);
+    }
+    return 0;
+}
--- a/include/carobjunction/process/admissioncontroller.h
+++ b/include/carobjunction/process/admissioncontroller.h
@@ -197,6 +197,13 @@
         return m_present;
     }
 
+    /** @return service of the backend server, empty before the first announcement */
+    std::string service() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_service;
+    }
+
     uint64_t incarnation() const
     {
         const std::scoped_lock lock(m_mutex);
@@ -496,7 +503,7 @@
     TimePoint m_startedAt {};
     AdmissionTicket m_lastTicket = 0;
     AdmissionTicket m_exclusive = 0; /**< Suspected request that runs alone or waits to; 0 if there is none. */
-    uint64_t m_reportSequence = 0;
+    uint64_t m_reportSequence;
     std::unordered_map<AdmissionTicket, detail::RunningRequest> m_running;
     std::vector<detail::QueuedRequest> m_queue;
     std::map<std::string, uint32_t> m_callers; /**< Slots and queue places held by each caller. */
--- a/include/carobjunction/request/callresult.h
+++ b/include/carobjunction/request/callresult.h
@@ -18,6 +18,7 @@
     HeaderList headers;
     std::string body;
     std::string target; /**< Daemon id of the target, empty if none was chosen. */
+    uint64_t configVersion = 0; /**< Version of the configuration that the request was handled under; 0 if none. */
     std::optional<LoadReport> load; /**< Load that came back with the answer. */
     std::chrono::microseconds serviceTime { 0 }; /**< Time that the backend server took. */
 };
--- /dev/null
+++ b/src/connection/backendclient.cpp
@@ -0,0 +1,199 @@
+#include "connection/backendclient.h"
+
+#include "connection/httpheaders.h"
+#include "connection/socketaddress.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ConnectTimeout(200);
+constexpr std::chrono::milliseconds CancelTimeout(200);
+constexpr std::chrono::milliseconds TimeoutRounding(3);
+constexpr size_t MaxIdleConnections = 64;
+
+httplib::Request toHttp(const CallRequest &request, Duration remaining)
+{
+    httplib::Request http;
+    http.method = request.method;
+    http.path = request.path;
+    for (const auto &[name, value] : request.headers) {
+        if (!isConnectionHeader(name)) {
+            http.headers.emplace(name, value);
+        }
+    }
+    const auto remainingMs = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    http.set_header(HeaderName::DeadlineMs, std::to_string(std::max<int64_t>(remainingMs, 1)));
+    http.set_header(HeaderName::RequestId, request.requestId);
+    http.set_header(HeaderName::Hops, std::to_string(request.hops + 1));
+    http.set_header(HeaderName::RetriesLeft, std::to_string(request.retriesLeft));
+    http.set_header(HeaderName::Caller, request.caller);
+    http.body = request.body;
+    return http;
+}
+
+CallResult notSent(Reason reason)
+{
+    CallResult result;
+    result.outcome = Outcome::NotRun;
+    result.reason = reason;
+    return result;
+}
+
+CallResult fromHttp(httplib::Response &response)
+{
+    CallResult result;
+    result.outcome = Outcome::Ran;
+    result.status = response.status;
+    if (response.get_header_value(HeaderName::OutcomeField) == nameOf(Outcome::NotRun)) {
+        result.outcome = Outcome::NotRun;
+        result.reason = Reason::Shed;
+    }
+    for (const auto &[name, value] : response.headers) {
+        if (!isConnectionHeader(name)) {
+            result.headers.emplace_back(name, value);
+        }
+    }
+    result.body = std::move(response.body);
+    return result;
+}
+
+} // namespace
+
+BackendClient::BackendClient(uint64_t maxBodyBytes) : m_maxBodyBytes(maxBodyBytes)
+{
+}
+
+BackendClient::~BackendClient() = default;
+
+void BackendClient::setAddress(const SocketAddress &address)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_host == address.host && m_port == address.port) {
+        return;
+    }
+    m_host = address.host;
+    m_port = address.port;
+    ++m_generation;
+    m_idle.clear();
+}
+
+CallResult BackendClient::call(const CallRequest &request)
+{
+    const Duration remaining = request.deadline.remaining(SteadyClock().now());
+    uint64_t generation = 0;
+    std::unique_ptr<httplib::Client> client = take(generation);
+    if (!client) {
+        return notSent(Reason::TargetDown);
+    }
+    if (remaining == Duration::zero()) {
+        giveBack(std::move(client), generation);
+        return notSent(Reason::DeadlineExceeded);
+    }
+    client->set_read_timeout(remaining);
+    client->set_write_timeout(remaining);
+    httplib::Request http = toHttp(request, remaining);
+    httplib::Response response;
+    bool isTooLarge = false;
+    http.content_receiver = [&](const char *data, size_t length, uint64_t, uint64_t) {
+        isTooLarge = response.body.size() + length > m_maxBodyBytes;
+        if (isTooLarge || request.deadline.isPast(SteadyClock().now())) {
+            return false;
+        }
+        response.body.append(data, length);
+        return true;
+    };
+    httplib::Error error = httplib::Error::Success;
+    if (client->send(http, response, error)) {
+        giveBack(std::move(client), generation);
+        return fromHttp(response);
+    }
+    // Only these errors come before the first byte of the request was sent.
+    if (error == httplib::Error::Connection || error == httplib::Error::BindIPAddress) {
+        return notSent(Reason::TargetDown);
+    }
+    CallResult result;
+    result.outcome = Outcome::Unknown;
+    // The library rounds timeouts, so its read may give up a little before the deadline.
+    const bool timeIsUp = request.deadline.remaining(SteadyClock().now()) < TimeoutRounding;
+    result.reason = timeIsUp ? Reason::DeadlineExceeded : Reason::AnswerLost;
+    if (isTooLarge) {
+        result.outcome = Outcome::Ran;
+        result.reason = Reason::AnswerTooLarge;
+    }
+    return result;
+}
+
+void BackendClient::cancel(const std::string &requestId)
+{
+    uint64_t generation = 0;
+    std::unique_ptr<httplib::Client> client = take(generation);
+    if (!client) {
+        return;
+    }
+    client->set_read_timeout(CancelTimeout);
+    if (client->Delete("/_carob/requests/" + requestId)) {
+        giveBack(std::move(client), generation);
+    }
+}
+
+bool BackendClient::canConnect()
+{
+    std::string host;
+    int port = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        host = m_host;
+        port = m_port;
+    }
+    if (port == 0) {
+        return false;
+    }
+    // A fresh connection, because an idle one tells nothing of the process behind the address.
+    httplib::Client client(host, port);
+    client.set_connection_timeout(ConnectTimeout);
+    client.set_read_timeout(CancelTimeout);
+    return client.Get("/_carob/health").error() != httplib::Error::Connection;
+}
+
+std::unique_ptr<httplib::Client> BackendClient::take(uint64_t &generation)
+{
+    std::string host;
+    int port = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        generation = m_generation;
+        if (m_port == 0) {
+            return nullptr;
+        }
+        if (!m_idle.empty()) {
+            std::unique_ptr<httplib::Client> client = std::move(m_idle.back());
+            m_idle.pop_back();
+            return client;
+        }
+        host = m_host;
+        port = m_port;
+    }
+    auto client = std::make_unique<httplib::Client>(host, port);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    client->set_url_encode(false);
+    client->set_connection_timeout(ConnectTimeout);
+    return client;
+}
+
+void BackendClient::giveBack(std::unique_ptr<httplib::Client> client, uint64_t generation)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (generation == m_generation && m_idle.size() < MaxIdleConnections) {
+        m_idle.push_back(std::move(client));
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/httpheaders.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+
+namespace carobjunction
+{
+
+/** Header fields of the protocol with callers and backend servers. */
+namespace HeaderName
+{
+inline constexpr char Service[] = "Carob-Service";
+inline constexpr char DeadlineMs[] = "Carob-Deadline-Ms";
+inline constexpr char IdempotencyKey[] = "Idempotency-Key";
+inline constexpr char Caller[] = "Carob-Caller";
+inline constexpr char Hops[] = "Carob-Hops";
+inline constexpr char RetriesLeft[] = "Carob-Retries-Left";
+inline constexpr char OutcomeField[] = "Carob-Outcome";
+inline constexpr char ReasonField[] = "Carob-Reason";
+inline constexpr char RequestId[] = "Carob-Request-Id";
+inline constexpr char Target[] = "Carob-Target";
+inline constexpr char ConfigVersion[] = "Carob-Config-Version";
+inline constexpr char ContentType[] = "Content-Type";
+} // namespace HeaderName
+
+/**
+ * @param name  header field name
+ * @return whether the field belongs to one connection or to this system, and is not passed on
+ */
+bool isConnectionHeader(std::string_view name);
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/daemon.cpp
@@ -0,0 +1,474 @@
+#include "process/daemon.h"
+
+#include <carobjunction/version/serviceconfigparser.h>
+
+#include "connection/socketaddress.h"
+#include "process/eventlog.h"
+#include "process/suspectwire.h"
+
+#include <random>
+#include <thread>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds MaintenanceInterval(10);
+constexpr uint32_t MaintenanceRunsPerCheck = 10;
+constexpr uint32_t MaintenanceRunsPerIdleCheck = 1000;
+constexpr std::chrono::milliseconds ServerStopGrace(500);
+constexpr std::chrono::milliseconds DrainCheckInterval(5);
+constexpr std::chrono::milliseconds ProbeTimeout(500);
+constexpr std::chrono::milliseconds IndirectProbeTimeout(500);
+// Serialized probe and report with the HTTP/2 frames around them.
+constexpr uint64_t ProbeBytes = 220;
+
+uint64_t wallClockMs()
+{
+    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+std::string randomHex()
+{
+    std::random_device device;
+    const uint64_t value = (static_cast<uint64_t>(device()) << 32U) | device();
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016lx", static_cast<unsigned long>(value));
+    return text;
+}
+
+ConfigTable::Config parseConfig(const std::string &service, uint64_t version, const std::string &content)
+{
+    const ServiceConfigResult result = ServiceConfigParser::parse(content, service + "@" + std::to_string(version), version);
+    if (!result.config || result.config->service != service) {
+        return nullptr;
+    }
+    return result.config;
+}
+
+TargetInfo targetInfoOf(const Member &member)
+{
+    TargetInfo info;
+    info.daemon = member.daemon;
+    info.incarnation = member.targetIncarnation;
+    info.region = member.region;
+    info.dataCentre = member.dataCentre;
+    info.peerAddress = member.peerAddress;
+    info.service = member.service;
+    info.slots = member.slots;
+    info.leaving = member.state == MemberState::Leaving;
+    return info;
+}
+
+std::string withPort(const std::string &address, int port)
+{
+    std::optional<SocketAddress> parsed = SocketAddress::parse(address);
+    parsed->port = static_cast<uint16_t>(port);
+    return parsed->toString();
+}
+
+} // namespace
+
+Daemon::Daemon(Settings settings)
+    : m_settings(std::move(settings))
+    , m_credentials(m_settings.peerSecurity, m_settings.tls)
+    , m_suspects(m_clock)
+    , m_targets(m_clock, m_settings.daemon, m_settings.region, m_settings.dataCentre, std::random_device {}())
+    , m_configs(parseConfig)
+    , m_view(m_clock, ownMember(), membershipOptions())
+    , m_channels(m_credentials, m_metrics, m_settings.maxBodyBytes)
+    , m_gossip(std::make_unique<DaemonGossip>(m_channels, m_clock, m_view, m_configs, gossipOptions(), gossipHooks()))
+    , m_workers(std::make_unique<WorkerPool>(m_settings.workerThreads))
+    , m_admission(std::make_unique<AdmissionService>(*m_workers, m_suspects, m_metrics, m_settings.maxBodyBytes))
+{
+    connectParts();
+}
+
+Daemon::~Daemon()
+{
+    stop();
+}
+
+Member Daemon::ownMember() const
+{
+    Member own;
+    own.daemon = m_settings.daemon;
+    own.incarnation = wallClockMs();
+    own.region = m_settings.region;
+    own.dataCentre = m_settings.dataCentre;
+    own.peerAddress = m_settings.peerAddress;
+    own.operatorAddress = m_settings.operatorAddress;
+    own.callerAddress = m_settings.callerAddress;
+    own.service = m_settings.service;
+    return own;
+}
+
+GossipOptions Daemon::gossipOptions() const
+{
+    GossipOptions options;
+    options.interval = m_settings.gossipInterval;
+    options.seeds = m_settings.seeds;
+    return options;
+}
+
+MembershipOptions Daemon::membershipOptions() const
+{
+    MembershipOptions options;
+    options.suspicionTimeout = m_settings.suspicionTimeout;
+    options.forgetTime = m_settings.memberForgetTime;
+    return options;
+}
+
+void Daemon::connectParts()
+{
+    if (!m_settings.storeAddress.empty()) {
+        StoreClientOptions options;
+        options.address = m_settings.storeAddress;
+        options.timeout = m_settings.storeTimeout;
+        m_store = StoreClient::create(options);
+    }
+    if (m_store) {
+        ClaimOptions options;
+        options.daemon = m_settings.daemon;
+        options.batchDelay = m_settings.claimBatchDelay;
+        m_claims = std::make_unique<Claims>(*m_store, m_clock, m_wallClock, options);
+        m_poller = std::make_unique<ConfigPoller<StoreClient, SteadyClock>>(
+            *m_store, m_clock, m_configs, ConfigPollerOptions { m_settings.configPollInterval }, pollerHooks());
+    }
+    m_view.setChangeHandler([this](const MemberChange &change) {
+        logMemberChange(change);
+        const Member &member = change.after ? *change.after : *change.before;
+        updateTargets(member.service);
+    });
+    m_configs.setChangeHandler([this](const ConfigTable::Config &config) { onConfig(config); });
+    m_admission->setHooks(
+        [this](const CallRequest &request, const CallResult &result) {
+            if (m_claims && !request.claimId.empty()) {
+                m_claims->recordDone(request.service, request.key, request.claimId, request.fingerprint, result);
+            }
+        },
+        [this] { m_gossipTask->wake(); });
+    m_entry = std::make_unique<EntryService>(entryParts());
+    m_peerServer = std::make_unique<PeerServer>(*m_admission, *m_workers, gossipHandlers(), m_settings.maxBodyBytes);
+    m_operatorServer = std::make_unique<OperatorServer>(operatorActions(), m_metrics, m_decisions);
+    m_callerServer = std::make_unique<CallerServer>(*m_entry, randomHex() + "-", m_settings.callerThreads, m_settings.maxBodyBytes);
+}
+
+EntryParts Daemon::entryParts()
+{
+    return { m_settings,
+             m_configs,
+             m_targets,
+             m_suspects,
+             *m_admission,
+             m_channels,
+             m_claims.get(),
+             m_metrics,
+             m_decisions,
+             [this] { return m_gossip->isReady(); },
+             [this](const std::string &daemon) {
+                 m_gossip->noteUnreachable(daemon);
+             } };
+}
+
+GossipHooks Daemon::gossipHooks()
+{
+    GossipHooks hooks;
+    hooks.collectSuspects = [this] {
+        return suspectsToWire(m_suspects);
+    };
+    hooks.mergeSuspect = [this](const v1::SuspectEntry &entry) {
+        return mergeSuspectFromWire(m_suspects, entry);
+    };
+    hooks.wake = [this] {
+        if (m_gossipTask) {
+            m_gossipTask->wake();
+        }
+    };
+    hooks.execute = [this](std::function<void()> task) {
+        m_workers->run(std::move(task));
+    };
+    return hooks;
+}
+
+GossipHandlers Daemon::gossipHandlers()
+{
+    GossipHandlers handlers;
+    handlers.exchange = [this](const v1::ExchangeRequest &request) {
+        v1::ExchangeResponse response = m_gossip->onExchange(request);
+        m_metrics.add(Counter::GossipBytesReceived, request.ByteSizeLong());
+        m_metrics.add(Counter::GossipBytesSent, response.ByteSizeLong());
+        return response;
+    };
+    handlers.indirectProbe = [this](const v1::IndirectProbeRequest &request) {
+        return m_gossip->onIndirectProbe(request);
+    };
+    handlers.inForce = [this](const v1::InForceRequest &request) {
+        return m_gossip->onInForce(request);
+    };
+    return handlers;
+}
+
+ConfigPollerHooks Daemon::pollerHooks()
+{
+    ConfigPollerHooks hooks;
+    hooks.isRepresentative = [this] {
+        return m_gossip->isRepresentative();
+    };
+    hooks.isReady = [this] {
+        return m_gossip->isReady();
+    };
+    hooks.polled = [this] {
+        m_gossip->noteStorePolled();
+    };
+    hooks.accepted = [this] {
+        m_gossipTask->wake();
+    };
+    return hooks;
+}
+
+bool Daemon::start()
+{
+    startTasks();
+    if (!openPorts()) {
+        return false;
+    }
+    EventLog::write(LogLevel::Info,
+                    Event::DaemonStarted,
+                    { { "daemon", m_settings.daemon },
+                      { "region", m_settings.region },
+                      { "data_centre", m_settings.dataCentre },
+                      { "caller", m_settings.callerAddress },
+                      { "peer", m_settings.peerAddress },
+                      { "operator", m_settings.operatorAddress } });
+    return true;
+}
+
+bool Daemon::openPorts()
+{
+    const int peerPort = m_peerServer->start(m_settings.peerAddress, m_credentials);
+    const int operatorPort = m_operatorServer->start(m_settings.operatorAddress);
+    const int callerPort = m_callerServer->start(m_settings.callerAddress);
+    if (peerPort == 0 || operatorPort == 0 || callerPort == 0) {
+        EventLog::write(LogLevel::Error,
+                        Event::PortUnavailable,
+                        { { "caller", callerPort ? "ok" : m_settings.callerAddress },
+                          { "peer", peerPort ? "ok" : m_settings.peerAddress },
+                          { "operator", operatorPort ? "ok" : m_settings.operatorAddress } });
+        return false;
+    }
+    m_settings.peerAddress = withPort(m_settings.peerAddress, peerPort);
+    m_settings.operatorAddress = withPort(m_settings.operatorAddress, operatorPort);
+    m_settings.callerAddress = withPort(m_settings.callerAddress, callerPort);
+    m_gossip->updateOwn([this](Member &own) {
+        own.peerAddress = m_settings.peerAddress;
+        own.operatorAddress = m_settings.operatorAddress;
+        own.callerAddress = m_settings.callerAddress;
+    });
+    return true;
+}
+
+void Daemon::startTasks()
+{
+    m_gossipTask = std::make_unique<PeriodicTask>(m_settings.gossipInterval, [this](bool isDue) { gossipRound(isDue); });
+    if (m_poller) {
+        m_pollerTask = std::make_unique<PeriodicTask>(m_settings.configPollInterval / 4, [this](bool) { m_poller->poll(); });
+    }
+    m_maintenanceTask = std::make_unique<PeriodicTask>(MaintenanceInterval, [this](bool) { maintain(); });
+}
+
+bool Daemon::isLeaving() const
+{
+    return m_isLeaving;
+}
+
+DrainResult Daemon::drain(Duration announceTime)
+{
+    leave();
+    const auto config = m_configs.find(m_settings.service);
+    const TimePoint startedAt = m_clock.now();
+    const TimePoint limit = startedAt + (config ? config->targets.drainLimit : TargetRules().drainLimit);
+    while (m_clock.now() < limit && (m_admission->running() > 0 || m_clock.now() < startedAt + announceTime)) {
+        std::this_thread::sleep_for(DrainCheckInterval);
+    }
+    if (m_claims) {
+        // Unrecorded results would leave the callers' resends with the answer "unknown".
+        m_claims->flush(limit - m_clock.now());
+    }
+    const size_t running = m_admission->running();
+    const bool isDrained = running == 0;
+    EventLog::write(isDrained ? LogLevel::Info : LogLevel::Error,
+                    isDrained ? Event::TargetDrained : Event::DrainLimitReached,
+                    { { "daemon", m_settings.daemon }, { "inflight", std::to_string(running) } });
+    return isDrained ? DrainResult::Drained : DrainResult::LimitReached;
+}
+
+void Daemon::stop()
+{
+    if (!m_workers) {
+        return;
+    }
+    if (m_callerServer) {
+        m_callerServer->stop();
+    }
+    if (m_gossipTask) {
+        // The last message tells the neighbours that this daemon has left, so that none has to find out.
+        m_gossip->updateOwn([](Member &own) { own.state = MemberState::Left; });
+        m_gossip->pushNow();
+    }
+    m_maintenanceTask.reset();
+    m_pollerTask.reset();
+    if (m_gossipTask) {
+        m_gossipTask->stop();
+    }
+    if (m_operatorServer) {
+        m_operatorServer->stop();
+    }
+    if (m_peerServer) {
+        m_peerServer->stop(ServerStopGrace);
+    }
+    m_workers.reset();
+}
+
+bool Daemon::announce(const TargetAnnouncement &announcement)
+{
+    const std::optional<SocketAddress> address = SocketAddress::parse(announcement.address);
+    if (announcement.service != m_settings.service || !address) {
+        return false;
+    }
+    m_announcedAt = m_clock.now();
+    m_admission->announce(announcement.service, *address, announcement.incarnation);
+    m_gossip->updateOwn([&](Member &own) {
+        if (announcement.incarnation < own.targetIncarnation) {
+            return;
+        }
+        own.targetAddress = announcement.address;
+        own.slots = announcement.slots;
+        own.targetIncarnation = announcement.incarnation;
+    });
+    return true;
+}
+
+void Daemon::leave()
+{
+    if (m_isLeaving.exchange(true)) {
+        return;
+    }
+    m_admission->leave();
+    m_gossip->updateOwn([](Member &own) { own.state = MemberState::Leaving; });
+}
+
+void Daemon::updateTargets(const std::string &service)
+{
+    if (service.empty()) {
+        return;
+    }
+    std::vector<TargetInfo> targets;
+    for (const MemberPointer &member : *m_view.targets(service)) {
+        targets.push_back(targetInfoOf(*member));
+    }
+    m_targets.setTargets(service, std::move(targets));
+}
+
+void Daemon::onConfig(const ConfigTable::Config &config)
+{
+    {
+        const std::scoped_lock lock(m_inForceMutex);
+        m_inForceSince[config->service] = m_clock.now();
+    }
+    EventLog::write(
+        LogLevel::Info, Event::ConfigInForce, { { "service", config->service }, { "version", std::to_string(config->version) }, { "hash", config->hash } });
+    if (config->service == m_settings.service) {
+        m_admission->configure({ config->targets.slots, config->targets.queue, config->targets.coldRamp });
+    }
+}
+
+void Daemon::gossipRound(bool isDue)
+{
+    if (isDue) {
+        m_gossip->tick();
+    } else {
+        m_gossip->pushNow();
+    }
+}
+
+void Daemon::maintain()
+{
+    m_admission->expire();
+    ++m_maintenanceRuns;
+    if (m_maintenanceRuns % MaintenanceRunsPerCheck == 0) {
+        checkAnnouncements();
+        logTargetChanges();
+        probeStaleTargets();
+    }
+    if (m_maintenanceRuns % MaintenanceRunsPerIdleCheck == 0) {
+        m_channels.closeIdle();
+    }
+}
+
+void Daemon::checkAnnouncements()
+{
+    if (!m_admission->isPresent()) {
+        // A new announcement makes the target usable again; until then nobody needs to ask it.
+        m_gossip->updateOwn([](Member &own) { own.targetAddress.clear(); });
+        return;
+    }
+    if (m_clock.now() - m_announcedAt.load() > m_settings.announceTimeout) {
+        m_admission->targetDown("silent");
+    }
+}
+
+void Daemon::logTargetChanges()
+{
+    for (const TargetChange &change : m_targets.takeChanges()) {
+        EventLog::write(change.ejected ? LogLevel::Warning : LogLevel::Info,
+                        change.ejected ? Event::TargetEjected : Event::TargetReturned,
+                        { { "service", change.service }, { "target", change.daemon }, { "evidence", change.evidence } });
+    }
+}
+
+ProbeBudget<SteadyClock> &Daemon::probeBudget(const ServiceConfig &config)
+{
+    const std::scoped_lock lock(m_probeMutex);
+    auto &budget = m_probeBudgets[config.service];
+    if (!budget) {
+        budget = std::make_unique<ProbeBudget<SteadyClock>>(m_clock, config.measuring);
+    }
+    budget->setBudget(config.measuring);
+    return *budget;
+}
+
+// Only services that this daemon routes calls for are worth measuring; the table knows them by their local calls.
+void Daemon::probeStaleTargets()
+{
+    for (const ConfigTable::Config &config : m_configs.configs()) {
+        if (!m_entry->isUsed(config->service)) {
+            continue;
+        }
+        const std::vector<TargetInfo> stale = m_targets.staleTargets(config->service, config->routing.staleAfter);
+        if (!stale.empty()) {
+            probe(stale.front(), *config);
+        }
+    }
+}
+
+void Daemon::probe(const TargetInfo &target, const ServiceConfig &config)
+{
+    const bool isRemote = target.region != m_settings.region;
+    if (!probeBudget(config).tryProbe(isRemote ? ProbeBytes : 0)) {
+        m_metrics.add(Counter::ProbesSkipped);
+        return;
+    }
+    m_metrics.add(Counter::Probes);
+    m_metrics.add(Counter::ProbeBytes, ProbeBytes);
+    m_metrics.add(Counter::ProbeBytesCrossRegion, isRemote ? ProbeBytes : 0);
+    m_workers->run([this, target] {
+        if (const std::optional<LoadReport> report = m_channels.probe(target.peerAddress, target.service, ProbeTimeout)) {
+            m_targets.observeLoad(target.service, target.daemon, *report);
+        }
+    });
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/daemon.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <carobjunction/process/membershipview.h>
+#include <carobjunction/process/probebudget.h>
+#include <carobjunction/process/suspecttable.h>
+#include <carobjunction/process/targettable.h>
+#include <carobjunction/version/configtable.h>
+
+#include "connection/callerserver.h"
+#include "connection/operatorserver.h"
+#include "connection/peerchannels.h"
+#include "connection/peerserver.h"
+#include "connection/tlscredentials.h"
+#include "process/admissionservice.h"
+#include "process/claims.h"
+#include "process/configpoller.h"
+#include "process/entryservice.h"
+#include "process/gossip.h"
+#include "process/metrics.h"
+#include "process/periodictask.h"
+#include "process/settings.h"
+#include "process/workerpool.h"
+#include "request/decisionlog.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+namespace carobjunction
+{
+
+/** Why a daemon ended its drain. */
+enum class DrainResult {
+    Drained, /**< The last request in progress finished. */
+    LimitReached, /**< The drain limit passed with requests in progress. */
+};
+
+/** The parts of one daemon process, connected. */
+class Daemon
+{
+public:
+    explicit Daemon(Settings settings);
+    ~Daemon();
+
+    /** Opens the ports and starts the threads. @return whether all ports could be opened */
+    bool start();
+
+    /** @return whether the backend server is leaving and the daemon should end */
+    bool isLeaving() const;
+
+    /**
+     * Leaves the system: no new work, requests in progress finish, the other daemons are told. Blocks until drained or the limit.
+     * @param announceTime  least time to stay, so that every other daemon learns of the leave and callers on this one finish
+     */
+    DrainResult drain(Duration announceTime);
+
+    /** Closes the ports and ends the threads. */
+    void stop();
+
+private:
+    using View = MembershipView<SteadyClock>;
+    using DaemonGossip = Gossip<PeerChannels, SteadyClock>;
+
+    EntryParts entryParts();
+    GossipHooks gossipHooks();
+    GossipHandlers gossipHandlers();
+    OperatorActions operatorActions();
+    ConfigPollerHooks pollerHooks();
+    Member ownMember() const;
+    GossipOptions gossipOptions() const;
+    MembershipOptions membershipOptions() const;
+    void connectParts();
+    bool openPorts();
+    void startTasks();
+
+    bool announce(const TargetAnnouncement &announcement);
+    void leave();
+    void updateTargets(const std::string &service);
+    void onConfig(const ConfigTable::Config &config);
+    void gossipRound(bool isDue);
+    void maintain();
+    void checkAnnouncements();
+    void logTargetChanges();
+    void probeStaleTargets();
+    void probe(const TargetInfo &target, const ServiceConfig &config);
+    ProbeBudget<SteadyClock> &probeBudget(const ServiceConfig &config);
+    std::string inForceJson(const std::string &service, bool withMembers);
+    std::string targetsJson(const std::string &service);
+    std::string suspectsJson();
+
+    Settings m_settings;
+    SteadyClock m_clock;
+    SystemWallClock m_wallClock;
+    Metrics m_metrics;
+    DecisionLog m_decisions;
+    TlsCredentials m_credentials;
+    SuspectTable<SteadyClock> m_suspects;
+    TargetTable<SteadyClock> m_targets;
+    ConfigTable m_configs;
+    View m_view;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<Claims> m_claims;
+    PeerChannels m_channels;
+    std::unique_ptr<DaemonGossip> m_gossip;
+    std::unique_ptr<WorkerPool> m_workers; /**< Ends before the parts above, which its work uses. */
+    std::unique_ptr<AdmissionService> m_admission;
+    std::unique_ptr<EntryService> m_entry;
+    std::unique_ptr<ConfigPoller<StoreClient, SteadyClock>> m_poller;
+    std::unique_ptr<PeerServer> m_peerServer;
+    std::unique_ptr<OperatorServer> m_operatorServer;
+    std::unique_ptr<CallerServer> m_callerServer;
+    std::unique_ptr<PeriodicTask> m_gossipTask;
+    std::unique_ptr<PeriodicTask> m_pollerTask;
+    std::unique_ptr<PeriodicTask> m_maintenanceTask;
+    std::mutex m_probeMutex;
+    std::map<std::string, std::unique_ptr<ProbeBudget<SteadyClock>>> m_probeBudgets;
+    std::map<std::string, TimePoint> m_inForceSince; /**< Guarded by m_inForceMutex. */
+    std::mutex m_inForceMutex;
+    std::atomic<TimePoint> m_announcedAt { TimePoint {} };
+    std::atomic<bool> m_isLeaving { false };
+    uint32_t m_maintenanceRuns = 0;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/daemonreports.cpp
@@ -0,0 +1,161 @@
+#include "process/daemon.h"
+
+#include "process/eventlog.h"
+#include "process/suspectwire.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds InForceTimeout(500);
+
+std::string dump(const nlohmann::json &json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+int64_t microseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+// What this daemon's routing knows of a target.
+void addLoad(nlohmann::json &target, const TargetSnapshot &snapshot)
+{
+    target["phase"] = nameOf(snapshot.phase);
+    target["local_in_flight"] = snapshot.localInFlight;
+    target["weight"] = snapshot.weight;
+    target["failure_share"] = snapshot.failureShare;
+    if (snapshot.latency) {
+        target["latency_us"] = microseconds(*snapshot.latency);
+    }
+    if (snapshot.load) {
+        target["in_flight"] = snapshot.load->inFlight;
+        target["queued"] = snapshot.load->queued;
+        target["limit"] = snapshot.load->limit;
+        target["report_age_us"] = microseconds(snapshot.reportAge.value_or(Duration::zero()));
+    }
+}
+
+uint64_t versionIn(const v1::InForceResponse &response, const std::string &service)
+{
+    for (const v1::ConfigEntry &entry : response.configs()) {
+        if (entry.service() == service) {
+            return entry.version();
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+OperatorActions Daemon::operatorActions()
+{
+    OperatorActions actions;
+    actions.isReady = [this] {
+        return m_gossip->isReady();
+    };
+    actions.announce = [this](const TargetAnnouncement &announcement) {
+        return announce(announcement);
+    };
+    actions.leave = [this] {
+        leave();
+    };
+    actions.inForce = [this](const std::string &service, bool withMembers) {
+        return inForceJson(service, withMembers);
+    };
+    actions.targets = [this](const std::string &service) {
+        return targetsJson(service);
+    };
+    actions.suspects = [this] {
+        return suspectsJson();
+    };
+    actions.clearSuspect = [this](uint64_t fingerprint) {
+        if (!m_suspects.clear(fingerprint)) {
+            return false;
+        }
+        EventLog::write(LogLevel::Info, Event::SuspectCleared, { { "fingerprint", std::to_string(fingerprint) }, { "cause", "operator" } });
+        m_gossipTask->wake();
+        return true;
+    };
+    return actions;
+}
+
+std::string Daemon::inForceJson(const std::string &service, bool withMembers)
+{
+    nlohmann::json configs = nlohmann::json::array();
+    nlohmann::json unconfirmed = nlohmann::json::array();
+    const auto wallNow = std::chrono::system_clock::now();
+    for (const auto &entry : m_configs.entries()) {
+        if (!service.empty() && entry->service != service) {
+            continue;
+        }
+        Duration since = Duration::zero();
+        {
+            const std::scoped_lock lock(m_inForceMutex);
+            since = m_clock.now() - m_inForceSince[entry->service];
+        }
+        const auto sinceWall = std::chrono::duration_cast<std::chrono::milliseconds>((wallNow - since).time_since_epoch()).count();
+        configs.push_back({ { "service", entry->service },
+                            { "version", entry->version },
+                            { "hash", entry->hash },
+                            { "publisher", entry->publisher },
+                            { "published_at_ms", entry->publishedAtMs },
+                            { "in_force_since_ms", sinceWall } });
+    }
+    if (withMembers) {
+        v1::InForceRequest request;
+        request.set_service(service);
+        for (const MemberPointer &member : *m_view.members()) {
+            if (!member->isLive() || member->daemon == m_settings.daemon) {
+                continue;
+            }
+            const auto response = m_channels.inForce(member->peerAddress, request, InForceTimeout);
+            for (const nlohmann::json &config : configs) {
+                const uint64_t version = response ? versionIn(*response, config["service"]) : 0;
+                if (version < config["version"].get<uint64_t>()) {
+                    unconfirmed.push_back({ { "daemon", member->daemon }, { "service", config["service"] }, { "version", version } });
+                }
+            }
+        }
+    }
+    return dump({ { "daemon", m_settings.daemon }, { "configs", std::move(configs) }, { "unconfirmed", std::move(unconfirmed) } });
+}
+
+std::string Daemon::targetsJson(const std::string &service)
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (const MemberPointer &member : *m_view.members()) {
+        if (!service.empty() && member->service != service) {
+            continue;
+        }
+        nlohmann::json target = { { "service", member->service },
+                                  { "daemon", member->daemon },
+                                  { "region", member->region },
+                                  { "data_centre", member->dataCentre },
+                                  { "address", member->targetAddress },
+                                  { "caller_address", member->callerAddress },
+                                  { "state", nameOf(member->state) },
+                                  { "incarnation", member->incarnation },
+                                  { "target_incarnation", member->targetIncarnation },
+                                  { "slots", member->slots } };
+        for (const TargetSnapshot &snapshot : m_targets.snapshot(member->service)) {
+            if (snapshot.target.daemon == member->daemon) {
+                addLoad(target, snapshot);
+            }
+        }
+        targets.push_back(std::move(target));
+    }
+    return dump({ { "targets", std::move(targets) } });
+}
+
+std::string Daemon::suspectsJson()
+{
+    return dump({ { "suspects", suspectsToJson(m_suspects) } });
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/metrics.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+#include <carobjunction/process/enumnames.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace carobjunction
+{
+
+/** Counters of a daemon. */
+enum class Counter {
+    CallsRan,
+    CallsNotRun,
+    CallsUnknown,
+    Attempts,
+    Reroutes,
+    Retries,
+    Hedges,
+    RetriesDenied,
+    Refusals,
+    Crashes,
+    Probes,
+    ProbeBytes,
+    ProbeBytesCrossRegion,
+    ProbesSkipped,
+    GossipBytesSent,
+    GossipBytesReceived,
+    DispatchBytesCrossRegion,
+    AnswersDiscarded,
+    Count, /**< Number of counters. */
+};
+
+template<>
+struct EnumNames<Counter> {
+    static constexpr std::pair<Counter, std::string_view> Table[] = {
+        { Counter::CallsRan, "carobjunction_calls_ran_total" },
+        { Counter::CallsNotRun, "carobjunction_calls_not_run_total" },
+        { Counter::CallsUnknown, "carobjunction_calls_unknown_total" },
+        { Counter::Attempts, "carobjunction_attempts_total" },
+        { Counter::Reroutes, "carobjunction_reroutes_total" },
+        { Counter::Retries, "carobjunction_retries_total" },
+        { Counter::Hedges, "carobjunction_hedges_total" },
+        { Counter::RetriesDenied, "carobjunction_retries_denied_total" },
+        { Counter::Refusals, "carobjunction_refusals_total" },
+        { Counter::Crashes, "carobjunction_backend_crashes_total" },
+        { Counter::Probes, "carobjunction_probes_total" },
+        { Counter::ProbeBytes, "carobjunction_probe_bytes_total" },
+        { Counter::ProbeBytesCrossRegion, "carobjunction_probe_bytes_cross_region_total" },
+        { Counter::ProbesSkipped, "carobjunction_probes_skipped_total" },
+        { Counter::GossipBytesSent, "carobjunction_gossip_bytes_sent_total" },
+        { Counter::GossipBytesReceived, "carobjunction_gossip_bytes_received_total" },
+        { Counter::DispatchBytesCrossRegion, "carobjunction_dispatch_bytes_cross_region_total" },
+        { Counter::AnswersDiscarded, "carobjunction_answers_discarded_total" },
+    };
+};
+
+/** Distributions of a daemon, in seconds. */
+enum class Quantile {
+    CallLatency,
+    ServiceTime,
+    AddedLatency, /**< Time of a call that was spent outside the backend server. */
+    Count, /**< Number of distributions. */
+};
+
+template<>
+struct EnumNames<Quantile> {
+    static constexpr std::pair<Quantile, std::string_view> Table[] = {
+        { Quantile::CallLatency, "carobjunction_call_latency_seconds" },
+        { Quantile::ServiceTime, "carobjunction_service_time_seconds" },
+        { Quantile::AddedLatency, "carobjunction_added_latency_seconds" },
+    };
+};
+
+/** Counters and quantiles of a daemon. Thread-safe. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+
+    void add(Counter counter, uint64_t amount = 1);
+    uint64_t value(Counter counter) const;
+    void observe(Quantile quantile, Duration duration);
+
+    /** @return all values in the Prometheus text format */
+    std::string toPrometheus() const;
+
+private:
+    struct Distribution;
+
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(Counter::Count)> m_counters {};
+    std::array<std::unique_ptr<Distribution>, static_cast<size_t>(Quantile::Count)> m_distributions;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/request/entrysession.cpp
@@ -0,0 +1,218 @@
+#include "request/entrysession.h"
+
+#include "process/entryservice.h"
+#include "process/eventlog.h"
+#include "process/metrics.h"
+
+#include <sstream>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+std::string describe(const std::vector<WeighedCandidate> &candidates)
+{
+    std::ostringstream text;
+    text.precision(3);
+    for (const WeighedCandidate &candidate : candidates) {
+        text << (text.tellp() > 0 ? "," : "") << candidate.daemon << ':' << candidate.score;
+    }
+    return text.str();
+}
+
+} // namespace
+
+EntrySession::EntrySession(EntryService &service, std::shared_ptr<const ServiceConfig> config, CallRequest request, AttemptRules rules)
+    : m_service(service), m_config(std::move(config)), m_request(std::move(request)), m_rules(rules), m_startedAt(SteadyClock().now())
+{
+}
+
+CallResult EntrySession::run()
+{
+    AttemptPlanner<EntrySession> planner(*this, m_rules);
+    while (true) {
+        for (const Arrival &arrival : takeArrivals()) {
+            planner.onResult(arrival.number, arrival.result);
+        }
+        const PlanStep step = planner.next(SteadyClock().now());
+        if (const auto *attempt = std::get_if<StartAttempt>(&step)) {
+            start(*attempt);
+        } else if (const auto *wait = std::get_if<WaitUntil>(&step)) {
+            waitForArrivals(wait->at);
+        } else {
+            finish(planner.unfinished());
+            return std::get<FinishCall>(step).result;
+        }
+    }
+}
+
+std::vector<AttemptRecord> EntrySession::attempts() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_attempts;
+}
+
+std::optional<std::string> EntrySession::chooseTarget(std::span<const std::string> excluded)
+{
+    m_choice = m_service.targets().choose(*m_config, excluded);
+    if (!m_choice) {
+        return std::nullopt;
+    }
+    return m_choice->target.daemon;
+}
+
+bool EntrySession::takeRetryToken()
+{
+    if (m_request.retriesLeft == 0 || !m_service.takeRetryToken(*m_config)) {
+        m_service.metrics().add(Counter::RetriesDenied);
+        EventLog::write(LogLevel::Info,
+                        Event::RetryDecided,
+                        { { "request", m_request.requestId }, { "verdict", "denied" }, { "reason", m_request.retriesLeft == 0 ? "call-chain" : "budget" } });
+        return false;
+    }
+    return true;
+}
+
+void EntrySession::start(const StartAttempt &attempt)
+{
+    const RouteChoice choice = *m_choice;
+    AttemptRecord record;
+    record.number = attempt.number;
+    record.kind = attempt.kind;
+    record.mayQueue = attempt.mayQueue;
+    record.choice = choice;
+    record.startedAfter = SteadyClock().now() - m_startedAt;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_attempts.push_back(std::move(record));
+    }
+    m_service.countAttempt(attempt.kind);
+    logAttempt(attempt, choice);
+    send(attempt, choice);
+}
+
+void EntrySession::send(const StartAttempt &attempt, const RouteChoice &choice)
+{
+    auto cancel = m_service.dispatch(requestFor(attempt), choice, attempt.mayQueue, [self = shared_from_this(), number = attempt.number](CallResult result) {
+        self->onResult(number, std::move(result));
+    });
+    const std::scoped_lock lock(m_mutex);
+    m_cancels[attempt.number] = std::move(cancel);
+}
+
+CallRequest EntrySession::requestFor(const StartAttempt &attempt) const
+{
+    CallRequest request = m_request;
+    request.suspect = request.suspect || attempt.alone;
+    // Calls below a retry or hedge make no further ones, so that the load does not multiply along a chain of calls.
+    const bool isExtra = attempt.kind == AttemptKind::Retry || attempt.kind == AttemptKind::Hedge;
+    request.retriesLeft = isExtra ? 0 : request.retriesLeft;
+    return request;
+}
+
+void EntrySession::onResult(uint32_t number, CallResult result)
+{
+    const TimePoint now = SteadyClock().now();
+    AttemptRecord record;
+    bool wasCancelled = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        AttemptRecord &attempt = m_attempts[number];
+        attempt.isFinished = true;
+        attempt.outcome = result.outcome;
+        attempt.reason = result.reason;
+        attempt.duration = now - m_startedAt - attempt.startedAfter;
+        result.target = attempt.choice.target.daemon;
+        wasCancelled = m_isFinished;
+        record = attempt;
+    }
+    reportAttempt(record, result, wasCancelled);
+    const TimePoint visibleAt = now + m_service.addedDelay(record.choice.target);
+    const std::scoped_lock lock(m_mutex);
+    m_arrivals.push_back({ number, std::move(result), visibleAt });
+    m_condition.notify_one();
+}
+
+void EntrySession::reportAttempt(const AttemptRecord &attempt, const CallResult &result, bool wasCancelled)
+{
+    AttemptReport report;
+    report.outcome = result.outcome;
+    report.reason = result.reason;
+    report.status = result.status;
+    report.latency = attempt.duration;
+    report.load = result.load;
+    report.cancelled = wasCancelled;
+    m_service.reportAttempt(m_request, attempt.choice.target, report);
+}
+
+void EntrySession::waitForArrivals(TimePoint until)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_arrivals.empty()) {
+        m_condition.wait_until(lock, until, [this] { return !m_arrivals.empty(); });
+    }
+    TimePoint visibleAt = until;
+    for (const Arrival &arrival : m_arrivals) {
+        visibleAt = std::min(visibleAt, arrival.visibleAt);
+    }
+    if (!m_arrivals.empty() && visibleAt > SteadyClock().now()) {
+        m_condition.wait_until(lock, visibleAt);
+    }
+}
+
+std::vector<EntrySession::Arrival> EntrySession::takeArrivals()
+{
+    const TimePoint now = SteadyClock().now();
+    std::vector<Arrival> visible;
+    const std::scoped_lock lock(m_mutex);
+    for (auto arrival = m_arrivals.begin(); arrival != m_arrivals.end();) {
+        if (arrival->visibleAt > now) {
+            ++arrival;
+            continue;
+        }
+        visible.push_back(std::move(*arrival));
+        arrival = m_arrivals.erase(arrival);
+    }
+    return visible;
+}
+
+void EntrySession::finish(const std::vector<StartAttempt> &unfinished)
+{
+    std::vector<std::function<void()>> cancels;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_isFinished = true;
+        for (const StartAttempt &attempt : unfinished) {
+            cancels.push_back(std::move(m_cancels[attempt.number]));
+        }
+        // The cancel functions refer to the calls, and the calls to this session.
+        m_cancels.clear();
+    }
+    for (const auto &cancel : cancels) {
+        if (cancel) {
+            cancel();
+        }
+    }
+}
+
+void EntrySession::logAttempt(const StartAttempt &attempt, const RouteChoice &choice) const
+{
+    if (!EventLog::isEnabled(LogLevel::Info)) {
+        return;
+    }
+    EventLog::write(LogLevel::Info,
+                    Event::RouteDecided,
+                    { { "request", m_request.requestId },
+                      { "service", m_request.service },
+                      { "target", choice.target.daemon },
+                      { "why", choice.why },
+                      { "kind", std::string(nameOf(attempt.kind)) },
+                      { "attempt", std::to_string(attempt.number) },
+                      { "may_queue", attempt.mayQueue ? "yes" : "no" },
+                      { "candidates", describe(choice.weighed) },
+                      { "config_version", std::to_string(m_request.configVersion) } });
+}
+
+} // namespace carobjunction
