--- a/bench/childprocess.cpp
+++ b/bench/childprocess.cpp
@@ -35,6 +35,7 @@
 {
     std::vector<std::string> copies = arguments;
     std::vector<char *> pointers;
+    pointers.reserve(copies.size() + 1);
     for (std::string &argument : copies) {
         pointers.push_back(argument.data());
     }
--- a/bench/faultinjector.cpp
+++ b/bench/faultinjector.cpp
@@ -89,7 +89,10 @@
         expect(m_cluster.control(action.target, R"({"leave":true})"));
         break;
     case FaultKind::StoreOutage:
-        expect(m_cluster.controlStore(nlohmann::json { { "unavailable_ms", lengthMs(action) } }.dump()));
+        expect(m_cluster.controlStore(R"({"mode":"down"})"));
+        if (action.length > Duration::zero()) {
+            later(action.length, [this] { expect(m_cluster.controlStore(R"({"mode":"up"})")); });
+        }
         break;
     case FaultKind::RollingRestart:
         rollingRestart(isStopped);
--- a/bench/htmlreport.cpp
+++ b/bench/htmlreport.cpp
@@ -102,6 +102,7 @@
 void writeCharts(std::ostringstream &html, const std::vector<const Cell *> &cells, Duration warmUp)
 {
     std::vector<SvgChart::Line> tails;
+    tails.reserve(cells.size());
     for (const Cell *cell : cells) {
         tails.push_back(tailOf(*cell, warmUp));
     }
--- a/bench/loadgenerator.cpp
+++ b/bench/loadgenerator.cpp
@@ -18,6 +18,7 @@
 std::vector<std::unique_ptr<ConnectionPool>> makePools(const std::vector<std::string> &addresses, Duration deadline)
 {
     std::vector<std::unique_ptr<ConnectionPool>> pools;
+    pools.reserve(addresses.size());
     for (const std::string &address : addresses) {
         pools.push_back(std::make_unique<ConnectionPool>(address, std::chrono::duration_cast<std::chrono::milliseconds>(deadline) + AnswerMargin));
     }
--- a/tools/standin-backend/backendserver.cpp
+++ b/tools/standin-backend/backendserver.cpp
@@ -61,8 +61,8 @@
 
 BackendServer::BackendServer(const BackendOptions &options) : m_options(options), m_pool(options.slots), m_rng(options.seed)
 {
-    m_server.new_task_queue = [] {
-        return new httplib::ThreadPool(WorkerCount);
+    m_server.new_task_queue = [workers = options.workers] {
+        return new httplib::ThreadPool(workers);
     };
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(1U << 30U);
