Run the bench's clusters with real daemons

Change: the bench publishes through the library's Publisher and waits until every daemon knows each service's configuration and targets. tiny.yaml runs daemons on one and two hops.

--- a/bench/cluster.cpp
+++ b/bench/cluster.cpp
@@ -4,6 +4,9 @@
 
 #include <carobjunction/process/lastreason.h>
 
+#include "process/storeclient.h"
+#include "version/publisher.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <yaml-cpp/yaml.h>
@@ -26,7 +29,7 @@
 
 constexpr auto StartLimit = milliseconds(10000);
 constexpr auto ReadyLimit = milliseconds(60000);
-constexpr auto PublishLimit = milliseconds(15000);
+constexpr auto PublishLimit = milliseconds(5000);
 constexpr auto ReadyPause = milliseconds(50);
 constexpr std::size_t SeedCount = 3;
 
@@ -61,6 +64,15 @@
     return all.size() <= Length ? all : all.substr(all.size() - Length);
 }
 
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
 std::size_t callIn(const std::string &path)
 {
     const std::string field = "call=";
@@ -222,12 +234,22 @@
     if (!m_options.policy.empty()) {
         config = ExperimentParser::merge(config, "routing: { policy: " + m_options.policy + " }");
     }
-    const std::string path = file(service.name + ".config.yaml");
-    std::ofstream(path) << config << '\n';
-    const std::string log = file("publish.log");
-    const auto publisher = ChildProcess::start({ program("cli/carobjunction"), "publish", path, "--store", m_storeAddress, "--publisher", "bench" }, log);
-    if (!publisher || !publisher->waitForExit(PublishLimit) || publisher->status() != 0) {
-        return fail("publishing " + service.name + " failed: " + lastLines(log));
+    StoreClientOptions options;
+    options.address = m_storeAddress;
+    options.timeout = PublishLimit;
+    const auto store = StoreClient::create(options);
+    if (!store) {
+        return fail("no store to publish " + service.name + " in");
+    }
+    PublishRequest request;
+    request.text = config + "\n";
+    request.file = service.name;
+    request.publisher = "bench";
+    request.token = PublishId::randomToken();
+    const PublishResult result = Publisher<StoreClient>(*store).publish(request);
+    if (result.outcome != PublishOutcome::Published) {
+        const std::string reason = result.faults.empty() ? std::string(nameOf(result.outcome)) : result.faults.front().toString();
+        return fail("publishing " + service.name + " failed: " + reason);
     }
     return true;
 }
@@ -237,9 +259,9 @@
     const auto end = std::chrono::steady_clock::now() + ReadyLimit;
     for (const Node &node : m_nodes) {
         for (const ServiceSpec &service : m_spec.services) {
-            while (!answersCalls(node, service)) {
+            while (!knowsService(node, service)) {
                 if (std::chrono::steady_clock::now() >= end) {
-                    return fail("daemon " + node.daemonId + " doesn't answer calls to " + service.name + ": " + lastLines(file(node.daemonId + ".log")));
+                    return fail("daemon " + node.daemonId + " doesn't know all targets of " + service.name + ": " + lastLines(file(node.daemonId + ".log")));
                 }
                 std::this_thread::sleep_for(ReadyPause);
             }
@@ -248,13 +270,18 @@
     return true;
 }
 
-/** Sends a call as callers do, until the daemon knows a configuration and a target of the service. */
-bool Cluster::answersCalls(const Node &node, const ServiceSpec &service) const
+/** A daemon is ready when it has the service's configuration and knows every target that is running. */
+bool Cluster::knowsService(const Node &node, const ServiceSpec &service) const
 {
-    const YAML::Node config = YAML::Load(service.config);
-    const auto path = config["routes"][0]["path"].as<std::string>();
-    const auto result = clientFor(node.callerAddress).Get(path, { { "Carob-Service", service.name }, { "Carob-Deadline-Ms", "1000" } });
-    return result && (result->status == 200 || m_options.policy == "local-only");
+    std::size_t expected = 0;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        expected += m_nodes[i].service == &service && m_options.absent.count(i) == 0 ? 1 : 0;
+    }
+    httplib::Client client = clientFor(node.operatorAddress);
+    const auto inForce = client.Get("/v1/in-force?service=" + service.name);
+    const auto targets = client.Get("/v1/targets?service=" + service.name);
+    return inForce && inForce->body.find("\"hash\"") != std::string::npos && targets
+        && countOf(targets->body, "\"target_incarnation\":") - countOf(targets->body, "\"target_incarnation\":0") >= expected;
 }
 
 bool Cluster::control(std::size_t target, const std::string &json) const
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -123,7 +123,7 @@
     bool startBarePath(std::size_t target);
     bool publish(const ServiceSpec &service) const;
     bool waitUntilReady() const;
-    bool answersCalls(const Node &node, const ServiceSpec &service) const;
+    bool knowsService(const Node &node, const ServiceSpec &service) const;
     void planNodes();
     std::string address();
     std::string program(const std::string &relative) const;
