--- a/bench/phaserunner.cpp
+++ b/bench/phaserunner.cpp
@@ -72,6 +72,20 @@
     std::vector<std::string> m_serviceOf;
 };
 
+/** @return share of the calls that another region's target answered; the oracle's calls count from the region of their planned entry */
+double crossRegionShare(const std::vector<Sample> &samples, const Endpoints &endpoints, Duration warmUp)
+{
+    double count = 0;
+    double crossed = 0;
+    for (const Sample &sample : samples) {
+        if (sample.plan.at >= warmUp && sample.target >= 0) {
+            ++count;
+            crossed += endpoints.regions[sample.plan.entry] == endpoints.regions[static_cast<std::size_t>(sample.target)] ? 0 : 1;
+        }
+    }
+    return count > 0 ? crossed / count : 0;
+}
+
 DaemonSnapshot snapshot(const Cluster &cluster)
 {
     DaemonSnapshot result;
@@ -142,6 +156,7 @@
         std::copy_if(samples.begin(), samples.end(), std::back_inserter(own), [variant](const Sample &sample) { return sample.plan.variant == variant; });
         result.figures[variant] = calculator.ofSamples(own);
         result.figures[variant].merge(Figures(shared));
+        result.figures[variant]["cross-region-share"] = crossRegionShare(own, cluster->endpoints(), m_experiment.warmUp);
     }
     return result;
 }
