Wait for idle caller connections without polling

Cause: cpp-httplib's server looks at each idle kept-alive connection every 10 ms. Change: KeepAliveServer overrides the library's connection loop and waits in poll(); a drain ends each connection with its next answer. Ruled out: a shorter keep-alive time (each call would open a connection), fewer connections (callers decide that).

--- a/src/connection/callerserver.cpp
+++ b/src/connection/callerserver.cpp
@@ -224,6 +224,11 @@
     return m_port.start(address);
 }
 
+void CallerServer::beginDrain()
+{
+    m_port.beginDrain();
+}
+
 void CallerServer::stop()
 {
     m_port.stop();
--- a/src/connection/callerserver.h
+++ b/src/connection/callerserver.h
@@ -54,6 +54,9 @@
     /** @return the port, or 0 if it could not be opened */
     int start(const std::string &address);
 
+    /** Ends each connection with its next answer, so that callers move to another daemon. */
+    void beginDrain();
+
     /** Closes the port after the requests in progress were answered. */
     void stop();
 
--- a/src/connection/httpport.cpp
+++ b/src/connection/httpport.cpp
@@ -1,9 +1,8 @@
 #include "connection/httpport.h"
 
+#include "connection/keepaliveserver.h"
 #include "connection/socketaddress.h"
 
-#include <httplib.h>
-
 #include <sys/socket.h>
 
 #include <atomic>
@@ -21,7 +20,7 @@
 
 } // namespace
 
-HttpPort::HttpPort(uint32_t threads, uint64_t maxBodyBytes) : m_server(std::make_unique<httplib::Server>())
+HttpPort::HttpPort(uint32_t threads, uint64_t maxBodyBytes) : m_server(std::make_unique<KeepAliveServer>())
 {
     m_server->new_task_queue = [threads] {
         return new httplib::ThreadPool(threads);
@@ -73,10 +72,15 @@
     return port;
 }
 
+void HttpPort::beginDrain()
+{
+    m_server->beginDrain();
+}
+
 void HttpPort::stop()
 {
     if (m_thread.joinable()) {
-        m_server->stop();
+        m_server->stopGracefully();
         m_thread.join();
     }
 }
--- a/src/connection/httpport.h
+++ b/src/connection/httpport.h
@@ -14,6 +14,8 @@
 namespace carobjunction
 {
 
+class KeepAliveServer;
+
 /** An HTTP server with a thread of its own, set up for many kept-alive connections. */
 class HttpPort
 {
@@ -35,11 +37,14 @@
      */
     int start(const std::string &address);
 
+    /** Ends each connection with its next answer. */
+    void beginDrain();
+
     /** Closes the port after the requests in progress were answered. */
     void stop();
 
 private:
-    std::unique_ptr<httplib::Server> m_server;
+    std::unique_ptr<KeepAliveServer> m_server;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/src/connection/socketstream.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <array>
+#include <chrono>
+
+namespace carobjunction
+{
+
+/** Buffered stream over a connected TCP socket, for httplib::Server. Does not close the socket. */
+class SocketStream : public httplib::Stream
+{
+public:
+    /** @param timeout  longest wait for one read or write */
+    SocketStream(socket_t socket, std::chrono::milliseconds timeout);
+
+    /** @return whether bytes were received that read() has not returned yet */
+    bool hasBuffered() const
+    {
+        return m_begin < m_end;
+    }
+
+    // Names and types are those of the library's interface.
+    bool is_readable() const override; // NOLINT(readability-identifier-naming)
+    bool is_writable() const override; // NOLINT(readability-identifier-naming)
+    ssize_t read(char *data, size_t size) override;
+    ssize_t write(const char *data, size_t size) override;
+    void get_remote_ip_and_port(std::string &ip, int &port) const override; // NOLINT(readability-identifier-naming)
+    void get_local_ip_and_port(std::string &ip, int &port) const override; // NOLINT(readability-identifier-naming)
+    socket_t socket() const override;
+
+private:
+    bool wait(short events) const;
+
+    const socket_t m_socket;
+    const std::chrono::milliseconds m_timeout;
+    std::array<char, 4096> m_buffer;
+    size_t m_begin = 0;
+    size_t m_end = 0;
+};
+
+} // namespace carobjunction
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -287,6 +287,7 @@
 DrainResult Daemon::drain(Duration announceTime)
 {
     leave();
+    m_callerServer->beginDrain();
     const auto config = m_configs.find(m_settings.service);
     const TimePoint startedAt = m_clock.now();
     const TimePoint limit = startedAt + (config ? config->targets.drainLimit : TargetRules().drainLimit);
