--- a/include/carobjunction/process/candidate.h
+++ b/include/carobjunction/process/candidate.h
@@ -18,10 +18,11 @@
     Duration reportAge = Duration::max();
     double othersAtReport = 0; /**< Calls of other entry daemons that the last report implies. */
     double othersMean = 0; /**< The same, smoothed over the reports seen. */
-    std::optional<Duration> latency; /**< Smoothed latency of successful calls; empty before the first. */
+    std::optional<Duration> latency; /**< Smoothed latency of successful calls, without the link between regions. */
     Duration latencyDeviation = Duration::zero(); /**< Smoothed absolute deviation from that latency. */
     Duration typicalLatency = Duration::zero(); /**< Median of the smoothed latencies of the service's targets; 0 if unknown. */
     Duration oldestInFlight = Duration::zero(); /**< Time since the oldest local call in flight started. */
+    Duration unansweredTime = Duration::zero(); /**< Sum over the local calls in flight of the time since their start or the last answer. */
     double failureShare = 0; /**< Smoothed share of calls that failed or were refused, 0 to 1; fades with time. */
     bool own = false; /**< The target of the entry daemon itself. */
     bool sameRegion = true;
--- a/include/carobjunction/process/routechoice.h
+++ b/include/carobjunction/process/routechoice.h
@@ -20,7 +20,7 @@
     TargetInfo target;
     bool own = false; /**< The entry daemon's own target, reached without a hop. */
     std::vector<WeighedCandidate> weighed;
-    std::string why; /**< One word: "best", "only", "trial", "spill" (another region) or "last-resort". */
+    std::string why; /**< One word: "best", "only", "trial" or "spill" (another region). */
 };
 
 /** Why no target was chosen. */
--- a/include/carobjunction/process/routingpolicy.h
+++ b/include/carobjunction/process/routingpolicy.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/candidate.h>
 #include <carobjunction/version/serviceconfig.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <optional>
@@ -57,17 +58,13 @@
     /** @return the position with the lowest score in m_weighed; ties are broken at random */
     std::optional<size_t> best(Rng &rng) const;
 
-    /** Scores up to @p count candidates drawn at random without repetition, all if there are no more. */
+    /** Scores up to @p count candidates drawn at random without repetition from those at @p indices, all if there are no more. */
     template<typename Score>
-    void sample(std::span<const Candidate> candidates, size_t count, Rng &rng, Score score)
+    void sample(std::span<const Candidate> candidates, std::vector<size_t> indices, size_t count, Rng &rng, Score score)
     {
-        std::vector<size_t> order(candidates.size());
-        for (size_t i = 0; i < order.size(); ++i) {
-            order[i] = i;
-        }
-        for (size_t i = 0; i < std::min(count, order.size()); ++i) {
-            std::swap(order[i], order[std::uniform_int_distribution<size_t>(i, order.size() - 1)(rng)]);
-            m_weighed.push_back({ order[i], score(candidates[order[i]]) });
+        for (size_t i = 0; i < std::min(count, indices.size()); ++i) {
+            std::swap(indices[i], indices[std::uniform_int_distribution<size_t>(i, indices.size() - 1)(rng)]);
+            m_weighed.push_back({ indices[i], score(candidates[indices[i]]) });
         }
     }
 
--- a/include/carobjunction/process/targethealth.h
+++ b/include/carobjunction/process/targethealth.h
@@ -49,9 +49,15 @@
     /** Counts a refusal by the target's daemon, which is no fault but must not attract calls. */
     void refused(TimePoint now);
 
-    /** Counts a call given up after @p latency, which took at least that long. */
+    /** Counts a call that could not reach the target. */
+    void unreachable(TimePoint now);
+
+    /** Counts a call given up after @p latency, which would have taken longer. */
     void cancelled(TimePoint now, Duration latency);
 
+    /** Puts the next trial off, because one ended without telling whether the target is well. @param jitter  as for eject() */
+    void postponeTrial(TimePoint now, double jitter);
+
     /** Stops calls. @param jitter  random factor near 1 for the back-off */
     void eject(TimePoint now, double jitter);
 
@@ -75,7 +81,7 @@
         return m_deviation;
     }
 
-    /** @return smoothed share of failed and refused calls; fades while no calls arrive */
+    /** @return smoothed share of failed and refused calls, 0 for isolated ones; fades while no calls arrive */
     double failureShare(TimePoint now) const;
 
     uint32_t samples() const
@@ -98,11 +104,13 @@
     uint32_t m_samples = 0; // latencies since the start or the last ejection
     uint32_t m_attempts = 0; // finished calls since the start or the last ejection
     uint32_t m_consecutiveFailures = 0;
+    uint32_t m_badInARow = 0; // failures and refusals
     double m_failureShare = 0;
     double m_faultShare = 0; // without refusals by the target's daemon
     TimePoint m_failureAt;
     bool m_ejected = false; // or on trial
     TimePoint m_ejectedUntil;
+    Duration m_backOff = Duration::zero();
     uint32_t m_ejections = 0; // in a row
     uint32_t m_trialsPassed = 0;
     TimePoint m_rampFrom;
--- a/include/carobjunction/process/targetload.h
+++ b/include/carobjunction/process/targetload.h
@@ -37,6 +37,9 @@
     /** @return time since the oldest call in flight started, zero if there is none */
     Duration oldest(TimePoint now) const;
 
+    /** @return sum over the calls in flight of the time since their start or since the last call ended, whichever is later */
+    Duration unanswered(TimePoint now) const;
+
     const std::optional<LoadReport> &report() const
     {
         return m_report;
@@ -63,6 +66,7 @@
     double m_othersAtReport = 0;
     double m_othersMean = 0;
     std::vector<TimePoint> m_started; // in order of time
+    TimePoint m_lastEnd;
 };
 
 } // namespace carobjunction::detail
--- a/include/carobjunction/process/targettable.h
+++ b/include/carobjunction/process/targettable.h
@@ -29,7 +29,7 @@
     uint32_t localInFlight = 0;
     std::optional<LoadReport> load;
     std::optional<Duration> reportAge;
-    std::optional<Duration> latency;
+    std::optional<Duration> latency; /**< Smoothed, without the link between regions. */
     double failureShare = 0;
     double weight = 1;
     std::optional<Duration> ejectedFor; /**< Time until the next trial. */
@@ -61,14 +61,24 @@
 enum class Verdict {
     Success,
     Failure,
+    Unreachable,
     Refusal, /**< The target's daemon refused for lack of capacity. */
     Neutral, /**< The attempt says nothing about the target. */
 };
 
 Verdict verdictOf(const AttemptReport &report);
 
-/** @return median of @p values, zero if there are none */
-Duration medianOf(std::vector<Duration> values);
+/** @return the lower median of @p values, zero if there are none */
+template<typename Value>
+Value medianOf(std::vector<Value> values)
+{
+    if (values.empty()) {
+        return Value {};
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
 
 } // namespace detail
 
@@ -141,6 +151,12 @@
         AnyPolicy policy = makePolicy(RoutingRules {});
     };
 
+    /** Medians over the targets of a service. */
+    struct Typical {
+        Duration latency;
+        double failureShare;
+    };
+
     bool isOwn(const State &state) const
     {
         return state.info.daemon == m_ownDaemon;
@@ -152,16 +168,19 @@
     }
 
     static void applyRules(Service &service, const ServiceConfig &config);
-    Candidate candidateOf(const State &state, TimePoint now, Duration typical, Duration ramp) const;
+    Candidate candidateOf(const State &state, TimePoint now, const Typical &typical, Duration ramp) const;
+    static double typicalFailureShare(const Service &service, TimePoint now);
     Duration typicalLatency(const Service &service, TimePoint now, const State *except) const;
     static size_t ejectionLimit(const Service &service);
     void enforceEjectionLimit(const std::string &name, Service &service, TimePoint now);
     void tryEject(const std::string &name, Service &service, State &state, TimePoint now, std::string_view evidence);
     void record(std::string service, std::string daemon, bool ejected, std::string_view evidence);
     State *find(const std::string &service, const std::string &daemon);
+    double jitter();
+    Duration withoutLink(const Service &service, const State &state, const AttemptReport &report) const;
     RouteChoice take(State &state, TimePoint now, std::string why);
     State *dueTrial(Service &service, TimePoint now);
-    std::optional<RouteChoice> chooseAmong(Service &service, std::vector<State *> &eligible, TimePoint now, bool lastResort);
+    std::optional<RouteChoice> chooseAmong(Service &service, const std::vector<State *> &eligible, TimePoint now);
 
     const Clock &m_clock;
     const std::string m_ownDaemon;
@@ -212,31 +231,27 @@
         return take(*trial, now, "trial");
     }
     std::vector<State *> eligible;
-    std::vector<State *> ejected;
     bool accepting = false;
     for (auto &[daemon, state] : service.targets) {
-        if (state.info.leaving) {
+        const TargetPhase phase = state.health.phase(now, service.coldRamp);
+        if (state.info.leaving || phase == TargetPhase::Ejected || phase == TargetPhase::Trial) {
             continue;
         }
         accepting = true;
-        if (std::find(excluded.begin(), excluded.end(), daemon) != excluded.end()) {
-            continue;
+        if (std::find(excluded.begin(), excluded.end(), daemon) == excluded.end()) {
+            eligible.push_back(&state);
         }
-        const TargetPhase phase = state.health.phase(now, service.coldRamp);
-        const bool usable = phase == TargetPhase::Normal || phase == TargetPhase::Ramp;
-        (usable ? eligible : ejected).push_back(&state);
     }
-    if (eligible.empty() && ejected.empty()) {
+    if (eligible.empty()) {
         return LastReason<RouteError>::fail(accepting ? RouteError::AllExcluded : RouteError::AllLeaving);
     }
-    const bool lastResort = eligible.empty();
-    return chooseAmong(service, lastResort ? ejected : eligible, now, lastResort);
+    return chooseAmong(service, eligible, now);
 }
 
 template<MonotonicClock Clock>
-std::optional<RouteChoice> TargetTable<Clock>::chooseAmong(Service &service, std::vector<State *> &eligible, TimePoint now, bool lastResort)
+std::optional<RouteChoice> TargetTable<Clock>::chooseAmong(Service &service, const std::vector<State *> &eligible, TimePoint now)
 {
-    const Duration typical = typicalLatency(service, now, nullptr);
+    const Typical typical { typicalLatency(service, now, nullptr), typicalFailureShare(service, now) };
     std::vector<Candidate> candidates;
     std::vector<State *> kept;
     std::uniform_real_distribution<double> uniform(0, 1);
@@ -261,7 +276,7 @@
             }
             const bool spill = !candidates[*index].sameRegion
                 && std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return candidate.sameRegion; });
-            const char *why = lastResort ? "last-resort" : spill ? "spill" : eligible.size() == 1 ? "only" : "best";
+            const char *why = spill ? "spill" : eligible.size() == 1 ? "only" : "best";
             RouteChoice choice = take(*kept[*index], now, why);
             for (const WeighedIndex &weighed : policy.weighed()) {
                 choice.weighed.push_back({ std::string(candidates[weighed.index].daemon), weighed.score });
@@ -280,10 +295,14 @@
     if (state == nullptr || state->info.incarnation != incarnation) {
         return;
     }
+    Service &entry = m_services.at(service);
+    const bool trial = state->health.phase(now, entry.coldRamp) == TargetPhase::Trial;
+    const Duration latency = withoutLink(entry, *state, report);
     state->load.finished(now, report.latency);
     const detail::Verdict verdict = detail::verdictOf(report);
     if (report.load && report.load->incarnation == incarnation) {
-        state->load.observe(*report.load, now, verdict == detail::Verdict::Failure);
+        const bool failing = verdict == detail::Verdict::Failure || verdict == detail::Verdict::Unreachable;
+        state->load.observe(*report.load, now, failing);
         state->info.leaving = state->info.leaving || report.load->leaving;
     }
     if (report.reason == Reason::Leaving) {
@@ -291,26 +310,29 @@
     }
     switch (verdict) {
     case detail::Verdict::Success:
-        state->health.succeeded(now, report.latency);
+        state->health.succeeded(now, latency);
         break;
     case detail::Verdict::Failure:
-        state->health.failed(now, report.latency);
+        state->health.failed(now, latency);
         break;
+    case detail::Verdict::Unreachable:
+        state->health.unreachable(now);
+        tryEject(service, entry, *state, now, nameOf(report.reason));
+        return;
     case detail::Verdict::Refusal:
         state->health.refused(now);
         break;
     case detail::Verdict::Neutral:
         if (report.cancelled) {
-            state->health.cancelled(now, report.latency);
+            state->health.cancelled(now, latency);
         }
         break;
     }
-    Service &entry = m_services.at(service);
     const std::string_view evidence = state->health.evidence(now, typicalLatency(entry, now, state));
-    if (report.reason == Reason::PeerUnreachable || report.reason == Reason::TargetDown) {
-        tryEject(service, entry, *state, now, nameOf(report.reason));
-    } else if (!evidence.empty()) {
+    if (!evidence.empty()) {
         tryEject(service, entry, *state, now, evidence);
+    } else if (trial && verdict != detail::Verdict::Success) {
+        state->health.postponeTrial(now, jitter());
     }
 }
 
@@ -342,7 +364,7 @@
     const std::lock_guard lock(m_mutex);
     const TimePoint now = m_clock.now();
     if (State *state = find(service, daemon)) {
-        state->health.failed(now, Duration::zero());
+        state->health.unreachable(now);
         tryEject(service, m_services.at(service), *state, now, "unreachable");
     }
 }
@@ -423,7 +445,7 @@
 }
 
 template<MonotonicClock Clock>
-Candidate TargetTable<Clock>::candidateOf(const State &state, TimePoint now, Duration typical, Duration ramp) const
+Candidate TargetTable<Clock>::candidateOf(const State &state, TimePoint now, const Typical &typical, Duration ramp) const
 {
     Candidate candidate;
     candidate.daemon = state.info.daemon;
@@ -432,11 +454,12 @@
     candidate.reportAge = state.load.reportAge(now);
     candidate.othersAtReport = state.load.othersAtReport();
     candidate.othersMean = state.load.othersMean();
-    candidate.latency = state.health.latency(now, typical);
+    candidate.latency = state.health.latency(now, typical.latency);
     candidate.latencyDeviation = state.health.deviation();
-    candidate.typicalLatency = typical;
+    candidate.typicalLatency = typical.latency;
     candidate.oldestInFlight = state.load.oldest(now);
-    candidate.failureShare = state.health.failureShare(now);
+    candidate.unansweredTime = state.load.unanswered(now);
+    candidate.failureShare = std::max(0.0, state.health.failureShare(now) - typical.failureShare);
     candidate.own = isOwn(state);
     candidate.sameRegion = isSameRegion(state);
     candidate.sameDataCentre = state.info.dataCentre == m_ownDataCentre;
@@ -458,6 +481,16 @@
     return detail::medianOf(std::move(latencies));
 }
 
+template<MonotonicClock Clock>
+double TargetTable<Clock>::typicalFailureShare(const Service &service, TimePoint now)
+{
+    std::vector<double> shares;
+    for (const auto &[daemon, state] : service.targets) {
+        shares.push_back(state.health.failureShare(now));
+    }
+    return detail::medianOf(std::move(shares));
+}
+
 template<MonotonicClock Clock>
 size_t TargetTable<Clock>::ejectionLimit(const Service &service)
 {
@@ -506,11 +539,29 @@
             return;
         }
     }
-    constexpr double Jitter = 0.25; // spreads the trials of several entry daemons
-    state.health.eject(now, std::uniform_real_distribution<double>(1 - Jitter, 1 + Jitter)(m_rng));
+    state.health.eject(now, jitter());
     record(name, state.info.daemon, true, evidence);
 }
 
+template<MonotonicClock Clock>
+double TargetTable<Clock>::jitter()
+{
+    constexpr double Jitter = 0.25; // spreads the trials of several entry daemons
+    return std::uniform_real_distribution<double>(1 - Jitter, 1 + Jitter)(m_rng);
+}
+
+template<MonotonicClock Clock>
+Duration TargetTable<Clock>::withoutLink(const Service &service, const State &state, const AttemptReport &report) const
+{
+    if (isSameRegion(state)) {
+        return report.latency;
+    }
+    // The configured cost may be more than the link really takes; the call took at least its service time.
+    constexpr int LeastPart = 4;
+    const Duration least = report.load ? Duration(report.load->serviceTime) : report.latency / LeastPart;
+    return std::max(report.latency - service.rules.regionCost, std::min(least, report.latency));
+}
+
 template<MonotonicClock Clock>
 void TargetTable<Clock>::record(std::string service, std::string daemon, bool ejected, std::string_view evidence)
 {
--- a/src/process/routingpolicy.cpp
+++ b/src/process/routingpolicy.cpp
@@ -27,7 +27,19 @@
 constexpr double FailureFactor = 50;
 
 /** Scores that differ by less than this share count as equal, so that entries with equal views spread. */
-constexpr double TieShare = 0.02;
+constexpr double TieShare = 0.05;
+
+/** Floor for service times in divisions. */
+constexpr double LeastServiceMs = 0.1;
+
+/** Differences of service time within this factor are noise. 2 and 2.5 did equally well in the comparison, 1.5 and 3 worse. */
+constexpr double NoiseFactor = 2;
+
+/** Cost of load below the limit, in service times at full use. It grows with the square of the use. */
+constexpr double UseCost = 2;
+
+/** Time in service times over which a report of others' calls loses its value. */
+constexpr double FadeServiceTimes = 3;
 
 /** Share of the most loaded candidates that the probe pool avoids while others are left. */
 constexpr double HotShare = 0.75;
@@ -61,12 +73,53 @@
     return candidate.sameDataCentre ? HopMs : DataCentreMs;
 }
 
-/** @return the longest time that a call usually takes, as in TCP's retransmission timeout, but at least three times the mean */
-double usualMaxMs(const Candidate &candidate, double usual)
+/**
+ * Reported service times scatter by a quarter on equal targets with exponential service times. Taken as they are, they
+ * send calls to the target that was lucky last, so differences within NoiseFactor count as none.
+ */
+double withoutNoise(double service, double typical)
+{
+    if (typical <= 0) {
+        return service;
+    }
+    if (service > typical * NoiseFactor) {
+        return service / NoiseFactor;
+    }
+    return service < typical / NoiseFactor ? service * NoiseFactor : typical;
+}
+
+/**
+ * @return factor by which calls seem to take longer than usual, judged from calls without an answer yet; 1 if there is no sign.
+ * The time without an answer, summed over the calls in flight, is on average the latency of one call.
+ */
+double stallFactor(const Candidate &candidate)
 {
-    constexpr double DeviationFactor = 4;
+    constexpr double DeviationFactor = 4; // as in the retransmission timeout of TCP
     constexpr double LeastFactor = 3;
-    return std::max(usual + DeviationFactor * toMs(candidate.latencyDeviation), LeastFactor * usual);
+    constexpr double OldCallFactor = 2; // bounded, because one slow request does not make a slow target
+    const double usual = std::max(latencyMs(candidate), LeastServiceMs);
+    double factor = std::max(1.0, (usual + toMs(candidate.unansweredTime)) / (2 * usual) / NoiseFactor);
+    if (toMs(candidate.oldestInFlight) > std::max(usual + DeviationFactor * toMs(candidate.latencyDeviation), LeastFactor * usual)) {
+        factor = std::max(factor, OldCallFactor);
+    }
+    return factor;
+}
+
+template<typename Predicate>
+std::vector<size_t> indicesOf(std::span<const Candidate> candidates, Predicate predicate)
+{
+    std::vector<size_t> indices;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        if (predicate(candidates[i])) {
+            indices.push_back(i);
+        }
+    }
+    return indices;
+}
+
+std::vector<size_t> allOf(std::span<const Candidate> candidates)
+{
+    return indicesOf(candidates, [](const Candidate &) { return true; });
 }
 
 } // namespace
@@ -91,7 +144,7 @@
 std::optional<size_t> RandomPolicy::choose(std::span<const Candidate> candidates, Rng &rng)
 {
     m_weighed.clear();
-    sample(candidates, 1, rng, [](const Candidate &) { return 0.0; });
+    sample(candidates, allOf(candidates), 1, rng, [](const Candidate &) { return 0.0; });
     return best(rng);
 }
 
@@ -119,14 +172,14 @@
 std::optional<size_t> LeastReportedPolicy::choose(std::span<const Candidate> candidates, Rng &rng)
 {
     m_weighed.clear();
-    sample(candidates, candidates.size(), rng, reportedUse);
+    sample(candidates, allOf(candidates), candidates.size(), rng, reportedUse);
     return best(rng);
 }
 
 std::optional<size_t> TwoChoicesPolicy::choose(std::span<const Candidate> candidates, Rng &rng)
 {
     m_weighed.clear();
-    sample(candidates, TwoCandidates, rng, [](const Candidate &candidate) { return static_cast<double>(candidate.localInFlight); });
+    sample(candidates, allOf(candidates), TwoCandidates, rng, [](const Candidate &candidate) { return static_cast<double>(candidate.localInFlight); });
     return best(rng);
 }
 
@@ -136,7 +189,8 @@
     m_weighed.clear();
     std::vector<double> weights;
     for (size_t i = 0; i < candidates.size(); ++i) {
-        const double score = std::max(LeastMs, latencyMs(candidates[i])) * (1 + FailureFactor * candidates[i].failureShare);
+        const double score = std::max(LeastMs, latencyMs(candidates[i]) + (candidates[i].sameRegion ? 0 : toMs(m_rules.regionCost)))
+            * (1 + FailureFactor * candidates[i].failureShare);
         m_weighed.push_back({ i, score });
         weights.push_back(1 / score);
     }
@@ -156,7 +210,7 @@
         }
     }
     if (uses.size() < TwoCandidates) {
-        sample(candidates, TwoCandidates, rng, [](const Candidate &candidate) { return static_cast<double>(candidate.localInFlight); });
+        sample(candidates, allOf(candidates), TwoCandidates, rng, [](const Candidate &candidate) { return static_cast<double>(candidate.localInFlight); });
         return best(rng);
     }
     const auto hot = uses.begin() + static_cast<std::ptrdiff_t>(HotShare * static_cast<double>(uses.size() - 1));
@@ -172,37 +226,46 @@
 
 double PredictedPolicy::predictedMs(const Candidate &candidate) const
 {
-    const double network = networkMs(candidate);
-    double service = latencyMs(candidate);
-    double wait = 0;
-    if (candidate.load && candidate.reportAge <= m_rules.staleAfter) {
-        if (candidate.load->serviceTime.count() > 0) {
-            service = toMs(candidate.load->serviceTime);
-        }
+    const bool fresh = candidate.load && candidate.reportAge <= m_rules.staleAfter;
+    const double typical = toMs(candidate.typicalLatency);
+    double measured = fresh && candidate.load->serviceTime.count() > 0 ? toMs(candidate.load->serviceTime) : latencyMs(candidate);
+    if (measured < typical) {
+        // A target that fails fast reports short service times. Only answers without an error show that it is faster than others.
+        measured = std::clamp(latencyMs(candidate), measured, typical);
+    }
+    const double service = withoutNoise(measured, typical) * stallFactor(candidate);
+    double wait = service * candidate.localInFlight;
+    if (fresh) {
+        // The calls of other entry daemons finish and others follow them, so the estimate goes from the reported to the usual
+        // number. The own calls are known exactly.
         const double limit = std::max(1U, candidate.load->limit);
-        // Requests of other entries that the report showed finish, and others take their place:
-        // the estimate goes from the reported to the usual number within about one service time.
-        const double fade = std::exp(-toMs(candidate.reportAge) / std::max(service, 0.1));
+        const double fade = std::exp(-toMs(candidate.reportAge) / (FadeServiceTimes * std::max(measured, LeastServiceMs)));
         const double others = candidate.othersMean + (candidate.othersAtReport - candidate.othersMean) * fade;
-        const double outstanding = others + candidate.localInFlight;
-        wait = std::max(0.0, outstanding + 1 - limit) * service / limit + 0.1 * service * outstanding / limit;
-    } else {
-        wait = service * candidate.localInFlight / std::max(1U, candidate.slots);
+        const double use = (others + candidate.localInFlight) / limit;
+        const double queued = std::max(service * (use + 1 / limit - 1), fade * toMs(candidate.load->predictedWait));
+        wait = std::max(0.0, queued) + service * UseCost * use * use;
     }
-    const double oldest = toMs(candidate.oldestInFlight);
-    if (oldest > usualMaxMs(candidate, latencyMs(candidate))) {
-        service = std::max(service, oldest);
-    }
-    return (network + wait + service) * (1 + FailureFactor * candidate.failureShare);
+    return networkMs(candidate) + (service + wait) * (1 + FailureFactor * candidate.failureShare);
 }
 
 std::optional<size_t> PredictedPolicy::choose(std::span<const Candidate> candidates, Rng &rng)
 {
     m_weighed.clear();
-    const auto score = [this](const Candidate &candidate) {
-        return predictedMs(candidate) + (candidate.sameRegion ? 0 : toMs(m_rules.regionCost));
+    const double regionMs = toMs(m_rules.regionCost);
+    const auto score = [&](const Candidate &candidate) {
+        return predictedMs(candidate) + (candidate.sameRegion ? 0 : regionMs);
+    };
+    // The own target is always compared, because a call to it saves the hop. Other entry daemons prefer other targets.
+    sample(candidates, indicesOf(candidates, [](const Candidate &candidate) { return candidate.own; }), 1, rng, score);
+    const std::vector<size_t> near = indicesOf(candidates, [](const Candidate &candidate) { return candidate.sameRegion && !candidate.own; });
+    sample(candidates, near, m_rules.choices, rng, score);
+    const auto isNearEnough = [&](const WeighedIndex &weighed) {
+        return weighed.score <= regionMs;
     };
-    sample(candidates, m_rules.choices, rng, score);
+    if (std::none_of(m_weighed.begin(), m_weighed.end(), isNearEnough)) {
+        const std::vector<size_t> far = indicesOf(candidates, [](const Candidate &candidate) { return !candidate.sameRegion && !candidate.own; });
+        sample(candidates, far, m_rules.choices, rng, score);
+    }
     return best(rng);
 }
 
--- a/src/process/targethealth.cpp
+++ b/src/process/targethealth.cpp
@@ -14,6 +14,19 @@
 
 constexpr double FailureSmoothing = 0.1;
 
+/**
+ * Failures and refusals in a row, or smoothed share of them, from which they count. Isolated errors of requests would
+ * otherwise drive all calls to the target that had none lately.
+ */
+constexpr uint32_t LeastBadInARow = 3;
+constexpr double LeastFailureShare = 0.25;
+
+/** Refusals count less than faults: a full queue may be empty again after a few service times. */
+constexpr double RefusalValue = 0.2;
+
+/** A call that was given up would have taken longer; for exponential latencies, longer by the mean. */
+constexpr int CancelledFactor = 2;
+
 /** Failures in a row that eject. A target with 1% of random failures reaches this once in 10^10 calls. */
 constexpr uint32_t ConsecutiveLimit = 5;
 
@@ -72,7 +85,8 @@
 
 void TargetHealth::addFailure(TimePoint now, double failure)
 {
-    m_failureShare = failureShare(now);
+    m_badInARow += failure > 0 ? 1 : 0;
+    m_failureShare *= fade(now - m_failureAt, FailureHalfLife);
     m_failureShare += FailureSmoothing * (failure - m_failureShare);
     m_failureAt = now;
 }
@@ -81,6 +95,7 @@
 {
     addLatency(now, latency);
     addFailure(now, 0);
+    m_badInARow = 0;
     m_faultShare -= FailureSmoothing * m_faultShare;
     ++m_attempts;
     m_consecutiveFailures = 0;
@@ -103,26 +118,38 @@
 
 void TargetHealth::refused(TimePoint now)
 {
-    addFailure(now, 1);
+    addFailure(now, RefusalValue);
+}
+
+void TargetHealth::unreachable(TimePoint now)
+{
+    failed(now, Duration::zero());
+    m_failureShare = 1;
 }
 
 void TargetHealth::cancelled(TimePoint now, Duration latency)
 {
-    if (m_latency && latency > *m_latency) {
-        addLatency(now, latency);
+    const Duration estimate = CancelledFactor * latency;
+    if (m_latency && estimate > *m_latency) {
+        addLatency(now, estimate);
     }
 }
 
+void TargetHealth::postponeTrial(TimePoint now, double jitter)
+{
+    m_ejectedUntil = now + scaled(m_backOff, jitter);
+}
+
 void TargetHealth::eject(TimePoint now, double jitter)
 {
     if (now - m_rampFrom > BackOffReset && !m_ejected) {
         m_ejections = 0;
     }
     constexpr uint32_t MostDoublings = 6;
-    const Duration backOff = std::min(LongestEjection, FirstEjection * (1U << std::min(m_ejections, MostDoublings)));
+    m_backOff = std::min<Duration>(LongestEjection, FirstEjection * (1U << std::min(m_ejections, MostDoublings)));
     ++m_ejections;
     m_ejected = true;
-    m_ejectedUntil = now + scaled(backOff, jitter);
+    m_ejectedUntil = now + scaled(m_backOff, jitter);
     m_trialsPassed = 0;
     m_attempts = 0;
     m_samples = 0;
@@ -181,7 +208,8 @@
 
 double TargetHealth::failureShare(TimePoint now) const
 {
-    return m_failureShare * fade(now - m_failureAt, FailureHalfLife);
+    const double share = m_failureShare * fade(now - m_failureAt, FailureHalfLife);
+    return m_badInARow >= LeastBadInARow || share >= LeastFailureShare ? share : 0;
 }
 
 } // namespace carobjunction::detail
--- a/src/process/targetload.cpp
+++ b/src/process/targetload.cpp
@@ -43,6 +43,7 @@
     if (m_started.empty()) {
         return;
     }
+    m_lastEnd = now;
     // Reports of attempts do not name the call, so the one that started nearest to the computed start is taken.
     const TimePoint start = now - latency;
     auto found = std::lower_bound(m_started.begin(), m_started.end(), start);
@@ -57,6 +58,15 @@
     return m_started.empty() ? Duration::zero() : now - m_started.front();
 }
 
+Duration TargetLoad::unanswered(TimePoint now) const
+{
+    Duration sum = Duration::zero();
+    for (const TimePoint started : m_started) {
+        sum += now - std::max(started, m_lastEnd);
+    }
+    return sum;
+}
+
 Duration TargetLoad::reportAge(TimePoint now) const
 {
     return m_report ? now - m_reportAt : Duration::max();
--- a/src/process/targettable.cpp
+++ b/src/process/targettable.cpp
@@ -11,14 +11,13 @@
     }
     switch (report.reason) {
     case Reason::Shed:
-    case Reason::TargetDown:
-    case Reason::PeerUnreachable:
     case Reason::AnswerLost:
         return Verdict::Failure;
+    case Reason::TargetDown:
+    case Reason::PeerUnreachable:
+        return Verdict::Unreachable;
     case Reason::Full:
     case Reason::AdaptiveLimit:
-    case Reason::CallerShare:
-    case Reason::SuspectBusy:
     case Reason::DeadlineTooShort:
     case Reason::StaleIncarnation:
     case Reason::WrongService:
@@ -37,14 +36,4 @@
     return Verdict::Neutral;
 }
 
-Duration medianOf(std::vector<Duration> values)
-{
-    if (values.empty()) {
-        return Duration::zero();
-    }
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 } // namespace carobjunction::detail
