--- a/src/process/daemonreports.cpp
+++ b/src/process/daemonreports.cpp
@@ -75,9 +75,10 @@
         return suspectsJson();
     };
     actions.clearSuspect = [this](uint64_t fingerprint) {
-        if (!m_suspects.clear(fingerprint)) {
+        if (m_suspects.state(fingerprint) == SuspectState::Clear) {
             return false;
         }
+        m_suspects.clear(fingerprint);
         EventLog::write(LogLevel::Info, Event::SuspectCleared, { { "fingerprint", std::to_string(fingerprint) }, { "cause", "operator" } });
         m_gossipTask->wake();
         return true;
