--- a/src/process/claimcommitter.h
+++ b/src/process/claimcommitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/batchdelay.h"
 #include "process/claimanswer.h"
 #include "process/claimrecorder.h"
 
@@ -29,7 +30,7 @@
 {
 public:
     ClaimCommitter(S &store, ClaimRecorder<S, C, W> &recorder, const C &clock, const W &wallClock, const ClaimOptions &options)
-        : m_store(store), m_recorder(recorder), m_clock(clock), m_wallClock(wallClock), m_options(options)
+        : m_store(store), m_recorder(recorder), m_clock(clock), m_wallClock(wallClock), m_options(options), m_delay(options.batchDelay)
     {
         if (options.threads == ClaimThreads::Own) {
             m_thread = std::jthread([this](const std::stop_token &stop) { work(stop); });
@@ -75,6 +76,9 @@
     /** Attempts at a key whose row changes each time; more of them would only add load. */
     static constexpr int MaxRounds = 4;
 
+    /** Attempts at a claim that the rate limit refuses; the caller's deadline usually comes first. */
+    static constexpr int MaxRoundsUnderOverload = 20;
+
     struct Entry {
         explicit Entry(const ClaimAttempt &a) : attempt(a)
         {
@@ -141,10 +145,18 @@
             ops.push_back(insertOp(*entry));
         }
         const auto result = m_store.transact(ops, false);
+        if (!result && LastReason<StoreError>::get().code == StoreErrorCode::Overloaded) {
+            m_delay.noteOverload();
+            for (const EntryPtr &entry : entries) {
+                requeue(entry, MaxRoundsUnderOverload);
+            }
+            return;
+        }
         if (!result) {
             resolveFailure(entries);
             return;
         }
+        m_delay.noteAccepted();
         for (size_t i = 0; i < entries.size(); ++i) {
             const StoreOpResult &outcome = result->results[i];
             if (outcome.applied) {
@@ -235,12 +247,17 @@
 
     void tryAgain(const EntryPtr &entry, uint64_t ifVersion, bool guarded)
     {
-        if (++entry->rounds >= MaxRounds) {
+        entry->ifVersion = ifVersion;
+        entry->guarded = guarded;
+        requeue(entry, MaxRounds);
+    }
+
+    void requeue(const EntryPtr &entry, int maxRounds)
+    {
+        if (++entry->rounds >= maxRounds) {
             finish(entry, {});
             return;
         }
-        entry->ifVersion = ifVersion;
-        entry->guarded = guarded;
         const std::scoped_lock lock(m_mutex);
         if (!entry->abandoned) {
             m_queue.push_front(entry);
@@ -310,8 +327,8 @@
                 if (!m_arrived.wait(lock, stop, [this] { return !m_queue.empty(); })) {
                     return;
                 }
-                if (idle) {
-                    m_arrived.wait_for(lock, stop, m_options.batchDelay, [this] { return m_queue.size() >= MaxClaimBatch; });
+                if (idle || m_delay.isLengthened()) {
+                    m_arrived.wait_for(lock, stop, m_delay.current(), [this] { return m_queue.size() >= MaxClaimBatch; });
                 }
             }
             commitBatch();
@@ -323,6 +340,7 @@
     const C &m_clock;
     const W &m_wallClock;
     const ClaimOptions m_options;
+    BatchDelay m_delay; /**< Used only by the thread that commits. */
     std::mutex m_mutex;
     std::condition_variable_any m_arrived;
     std::condition_variable_any m_answered;
--- a/src/process/claimrecorder.h
+++ b/src/process/claimrecorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/batchdelay.h"
 #include "process/claimoptions.h"
 #include "process/claimrow.h"
 #include "process/eventlog.h"
@@ -24,7 +25,13 @@
 {
 public:
     ClaimRecorder(S &store, const C &clock, const W &wallClock, const ClaimOptions &options)
-        : m_store(store), m_clock(clock), m_wallClock(wallClock), m_options(options), m_random(options.seed), m_pause(options.firstPause)
+        : m_store(store)
+        , m_clock(clock)
+        , m_wallClock(wallClock)
+        , m_options(options)
+        , m_random(options.seed)
+        , m_pause(options.firstPause)
+        , m_delay(options.recordDelay)
     {
         if (options.threads == ClaimThreads::Own) {
             m_thread = std::jthread([this](const std::stop_token &stop) { work(stop); });
@@ -287,7 +294,9 @@
             }
             if (succeeded) {
                 m_pause = m_options.firstPause;
+                m_delay.noteAccepted();
             } else {
+                m_delay.noteOverload();
                 std::uniform_real_distribution<double> share(0.5, 1.0);
                 m_nextAttempt = m_clock.now() + std::chrono::duration_cast<Duration>(m_pause * share(m_random));
                 m_pause = std::min(m_pause * 2, m_options.longestPause);
@@ -299,13 +308,12 @@
     void work(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
-            Duration pause = m_options.recordDelay;
             {
                 std::unique_lock lock(m_mutex);
                 if (!m_changed.wait(lock, stop, [this] { return !m_queue.empty(); })) {
                     return;
                 }
-                pause = std::max(pause, Duration(m_nextAttempt - m_clock.now()));
+                const Duration pause = std::max(m_delay.current(), Duration(m_nextAttempt - m_clock.now()));
                 // Nothing notifies this wait before the pause is over, except a stop.
                 m_changed.wait_for(lock, stop, pause, [&stop] { return stop.stop_requested(); });
             }
@@ -324,6 +332,7 @@
     size_t m_pendingBytes = 0;
     std::mt19937_64 m_random;
     Duration m_pause;
+    BatchDelay m_delay;
     TimePoint m_nextAttempt {};
     std::jthread m_thread; /**< Last member, so that it ends before the others are destroyed. */
 };
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -19,10 +19,10 @@
 constexpr int StatusTooManyRequests = 429;
 constexpr int FirstServerError = 500;
 
-/** Whether the store itself is in order, so that further calls make sense. */
+/** Whether the store answered. A caller that meets the rate limit slows down by itself, and others need not stop. */
 bool showsHealthyStore(const StoreError &error)
 {
-    return error.code == StoreErrorCode::NotFound || error.code == StoreErrorCode::Protocol;
+    return error.code == StoreErrorCode::NotFound || error.code == StoreErrorCode::Protocol || error.code == StoreErrorCode::Overloaded;
 }
 
 StoreError connectionError(httplib::Error error, bool isWrite)
--- a/tests/process/claimledgertest.cpp
+++ b/tests/process/claimledgertest.cpp
@@ -380,6 +380,20 @@
     CHECK(ledger.flush(60s));
 }
 
+TEST_CASE("BatchDelay.rateLimitMet.growsToACapAndShrinksAgain", "[claims]")
+{
+    // Guards against batches that keep hitting the rate limit, and against a delay that stays long afterwards.
+    BatchDelay delay(2ms);
+    for (int i = 0; i < 20; ++i) {
+        delay.noteOverload();
+    }
+    CHECK(delay.current() == 250ms);
+    for (int i = 0; i < 100; ++i) {
+        delay.noteAccepted();
+    }
+    CHECK(delay.current() == 2ms);
+}
+
 TEST_CASE("ClaimLedger.callerLeavesBeforeTheAnswer.claimIsReleased", "[claims]")
 {
     // Guards against a claim that stays after its caller was told "not run".
@@ -421,7 +435,7 @@
         return Deadline::after(clock.now(), 60s);
     };
     ClaimState state = ClaimState::Unresolved;
-    while (state == ClaimState::Unresolved) {
+    for (int attempt = 0; attempt < 2000 && state == ClaimState::Unresolved; ++attempt) {
         state = ledger.claim("ordering", "k", 1, Window, later()).state;
     }
     CHECK(state == ClaimState::Won);
