--- /dev/null
+++ b/bench/membershipcost/main.cpp
@@ -0,0 +1,287 @@
+// Measures what membership costs each daemon, with all daemons in one process and messages passed as bytes.
+#include "process/memorycluster.h"
+
+#include <CLI/CLI.hpp>
+
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+#include <malloc.h>
+
+using namespace carobjunction;
+using namespace carobjunction::testing;
+
+namespace
+{
+
+constexpr std::size_t Services = 60;
+constexpr double SecondsPerDay = 86400;
+
+double processorSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+struct Options {
+    std::vector<std::size_t> sizes { 25, 50, 100, 400, 1700 };
+    std::size_t regions = 3;
+    std::size_t seconds = 120;
+    std::size_t contentBytes = 2048;
+    double loss = 0;
+};
+
+/** Bytes and messages of each daemon over some time. */
+struct Rate {
+    double bytes = 0;
+    double bytesOfBusiest = 0;
+    double messages = 0;
+    uint64_t largest = 0;
+    double processorMs = 0;
+    std::size_t seconds = 0;
+};
+
+class Measurement
+{
+public:
+    Measurement(std::size_t count, const Options &options) : m_count(count), m_options(options)
+    {
+        m_cluster.network.random.seed(20261204);
+        m_cluster.startAll(count, options.regions);
+        for (std::size_t service = 0; service < Services; ++service) {
+            publish(service);
+        }
+        while (!m_cluster.hasConverged() || !isInForce()) {
+            m_cluster.tick(1);
+            ++m_joinTicks;
+            if (m_joinTicks > 200) {
+                std::cout << "no convergence\n";
+                break;
+            }
+        }
+        m_cluster.tick(2);
+        m_cluster.network.lossShare = options.loss;
+    }
+
+    std::size_t joinTicks() const
+    {
+        return m_joinTicks;
+    }
+
+    /**
+     * Runs with changes at a rate.
+     * @param restartsPerDay  VM restarts: leaving, left, and a new process with a new incarnation 5 s later
+     */
+    Rate run(double restartsPerDay, double configsPerDay)
+    {
+        m_cluster.network.traffic.clear();
+        const double start = processorSeconds();
+        double restarts = 0;
+        double configs = 0;
+        std::vector<std::pair<std::size_t, std::size_t>> down;
+        for (std::size_t second = 0; second < m_options.seconds; ++second) {
+            restarts += restartsPerDay / SecondsPerDay;
+            configs += configsPerDay / SecondsPerDay;
+            for (; restarts >= 1; restarts -= 1) {
+                const std::size_t number = 3 + m_cluster.network.random() % (m_count - 3);
+                if (m_cluster.network.nodes.count(address(number)) > 0) {
+                    stop(number);
+                    down.emplace_back(number, second + 5);
+                }
+            }
+            for (; configs >= 1; configs -= 1) {
+                publish(m_cluster.network.random() % Services);
+            }
+            std::erase_if(down, [&](const auto &item) {
+                if (item.second <= second) {
+                    startAgain(item.first);
+                }
+                return item.second <= second;
+            });
+            m_cluster.tick(1);
+        }
+        return collect(processorSeconds() - start);
+    }
+
+    /** @return time until all daemons know that one is leaving, and the ticks that this took */
+    std::pair<double, std::size_t> timeOfLeave()
+    {
+        MemoryNode &node = m_cluster.node(m_count / 2);
+        m_cluster.network.beginAt({});
+        node.gossip.updateOwn([](Member &own) { own.state = MemberState::Leaving; });
+        const auto result = spread([&, id = node.view.ownId()](const MemoryNode &other) { return other.view.find(id)->state == MemberState::Leaving; });
+        node.gossip.updateOwn([](Member &own) { own.state = MemberState::Up; });
+        m_cluster.tick(2);
+        return result;
+    }
+
+    std::pair<double, std::size_t> timeOfConfig(std::size_t contentBytes)
+    {
+        const std::string service = "service-0";
+        const uint64_t version = ++m_versions[0];
+        m_cluster.network.beginAt({});
+        offer(0, version, contentBytes);
+        return spread([&](const MemoryNode &other) { return other.configs.entry(service)->version == version; });
+    }
+
+    /** @return bytes of heap that one member takes in the view of one daemon */
+    static double memoryPerMember(std::size_t count)
+    {
+        const FakeClock clock;
+        const std::size_t before = mallinfo2().uordblks;
+        MembershipView<FakeClock> view(clock, MemoryCluster::memberOf(0, 3));
+        for (std::size_t number = 1; number < count; ++number) {
+            view.merge({ MemoryCluster::memberOf(number, 3) }, "daemon-1");
+        }
+        view.members();
+        for (std::size_t service = 0; service < Services; ++service) {
+            view.targets("service-" + std::to_string(service));
+        }
+        return static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(count);
+    }
+
+private:
+    std::string address(std::size_t number) const
+    {
+        return MemoryCluster::memberOf(number, m_options.regions).peerAddress;
+    }
+
+    /** Offers a new version at a daemon, as its poller does, and has it pushed. */
+    void publish(std::size_t service)
+    {
+        offer(service, ++m_versions[service], m_options.contentBytes);
+        m_cluster.network.runWakes();
+    }
+
+    void offer(std::size_t service, uint64_t version, std::size_t contentBytes)
+    {
+        std::string content(contentBytes, 'x');
+        content += std::to_string(service) + "." + std::to_string(version);
+        content.erase(0, content.size() - contentBytes);
+        MemoryNode *poller = &m_cluster.node(0);
+        for (const auto &[peer, node] : m_cluster.network.nodes) {
+            if (node->gossip.isRepresentative()) {
+                poller = node.get();
+                break;
+            }
+        }
+        const std::string name = "service-" + std::to_string(service);
+        poller->configs.offer({ name, version, ConfigTable::sha256(content), "operator", "publish-0123456789", 1700000000000, content });
+        m_cluster.network.scheduleWake(poller->view.own().peerAddress);
+    }
+
+    void stop(std::size_t number)
+    {
+        auto &node = m_cluster.network.nodes.at(address(number));
+        for (const MemberState state : { MemberState::Leaving, MemberState::Left }) {
+            node->gossip.updateOwn([&](Member &own) { own.state = state; });
+            m_cluster.network.runWakes();
+        }
+        m_cluster.network.nodes.erase(address(number));
+    }
+
+    void startAgain(std::size_t number)
+    {
+        Member member = MemoryCluster::memberOf(number, m_options.regions, 1700000000000 + ++m_restarts);
+        member.targetAddress.clear();
+        m_cluster.start(member, { address(0), address(1), address(2) });
+        m_cluster.network.runWakes();
+    }
+
+    bool isInForce()
+    {
+        std::set<uint64_t> hashes;
+        for (const auto &[peer, node] : m_cluster.network.nodes) {
+            hashes.insert(node->configs.hash());
+        }
+        return hashes.size() == 1;
+    }
+
+    template<typename Known>
+    std::pair<double, std::size_t> spread(Known isKnown)
+    {
+        std::set<std::string> missing;
+        for (const auto &[peer, node] : m_cluster.network.nodes) {
+            missing.insert(peer);
+        }
+        Duration last {};
+        const auto update = [&](Duration time) {
+            const std::size_t before = missing.size();
+            std::erase_if(missing, [&](const std::string &peer) { return isKnown(*m_cluster.network.nodes.at(peer)); });
+            if (missing.size() != before) {
+                last = time;
+            }
+        };
+        m_cluster.network.runWakes(update);
+        std::size_t ticks = 0;
+        constexpr std::size_t MaxTicks = 30;
+        while (!missing.empty() && ticks < MaxTicks) {
+            m_cluster.tick(1);
+            ++ticks;
+            update(std::chrono::seconds(ticks));
+        }
+        return { missing.empty() ? std::chrono::duration<double>(last).count() : -1, ticks };
+    }
+
+    Rate collect(double processorTime) const
+    {
+        Rate rate;
+        rate.seconds = m_options.seconds;
+        const auto seconds = static_cast<double>(m_options.seconds);
+        for (const auto &[peer, traffic] : m_cluster.network.traffic) {
+            rate.bytes += static_cast<double>(traffic.bytes) / seconds / static_cast<double>(m_count);
+            rate.messages += static_cast<double>(traffic.messages) / seconds / static_cast<double>(m_count);
+            rate.bytesOfBusiest = std::max(rate.bytesOfBusiest, static_cast<double>(traffic.bytes) / seconds);
+            rate.largest = std::max(rate.largest, traffic.largest);
+        }
+        rate.processorMs = processorTime * 1000 / seconds / static_cast<double>(m_count);
+        return rate;
+    }
+
+    std::size_t m_count;
+    const Options &m_options;
+    MemoryCluster m_cluster;
+    std::map<std::size_t, uint64_t> m_versions;
+    std::size_t m_joinTicks = 0;
+    uint64_t m_restarts = 0;
+};
+
+void print(std::size_t count, const std::string &load, const Rate &rate)
+{
+    std::cout << "| " << count << " | " << load << " | " << std::fixed << std::setprecision(0) << rate.bytes << " | " << rate.bytesOfBusiest << " | "
+              << std::setprecision(1) << rate.messages << " | " << rate.largest << " | " << std::setprecision(3) << rate.processorMs << " |\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Options options;
+    CLI::App app("Measures the cost of membership for each daemon");
+    app.add_option("--sizes", options.sizes, "Numbers of daemons");
+    app.add_option("--regions", options.regions, "Number of regions");
+    app.add_option("--seconds", options.seconds, "Simulated seconds of each measurement");
+    app.add_option("--content-bytes", options.contentBytes, "Size of a configuration");
+    app.add_option("--loss", options.loss, "Share of messages lost");
+    CLI11_PARSE(app, argc, argv);
+    EventLog::initialise(LogLevel::Error);
+
+    std::cout << "| Daemons | Load | Bytes/s | Bytes/s of the busiest | Messages/s | Largest message | Processor ms/s |\n|---|---|---|---|---|---|---|\n";
+    std::ostringstream times;
+    for (const std::size_t size : options.sizes) {
+        Measurement measurement(size, options);
+        print(size, "idle", measurement.run(0, 0));
+        print(size, "130 restarts, 3,000 configurations a day", measurement.run(130, 3000));
+        const auto leave = measurement.timeOfLeave();
+        const auto config = measurement.timeOfConfig(options.contentBytes);
+        const auto large = measurement.timeOfConfig(ConfigTable::MaxContentBytes);
+        times << "| " << size << " | " << measurement.joinTicks() << " | " << std::fixed << std::setprecision(3) << leave.first << " (" << leave.second
+              << ") | " << config.first << " (" << config.second << ") | " << large.first << " (" << large.second << ") | " << std::setprecision(0)
+              << Measurement::memoryPerMember(size) << " |\n";
+    }
+    std::cout << "\n| Daemons | Ticks of a common start | Leave known to all, s (ticks) | Configuration in force, s (ticks) | The same with 64 KiB | Bytes of "
+                 "memory a member |\n|---|---|---|---|---|---|\n"
+              << times.str();
+    return 0;
+}
--- a/include/carobjunction/process/member.h
+++ b/include/carobjunction/process/member.h
@@ -52,6 +52,7 @@
     std::string targetAddress; /**< Empty while no backend server is announced. */
     uint64_t targetIncarnation = 0; /**< Incarnation of the backend server, 0 while none is announced. */
     uint32_t slots = 0;
+    bool wasLeaving = false; /**< The member was leaving when it was suspected. */
 
     bool operator==(const Member &) const = default;
 
@@ -69,7 +70,7 @@
     /** @return whether routing may choose the target; a suspected one stays usable until it has failed */
     bool acceptsWork() const
     {
-        return (state == MemberState::Up || state == MemberState::Suspected) && !targetAddress.empty();
+        return (state == MemberState::Up || (state == MemberState::Suspected && !wasLeaving)) && !targetAddress.empty();
     }
 };
 
--- a/include/carobjunction/process/membershipview.h
+++ b/include/carobjunction/process/membershipview.h
@@ -145,6 +145,7 @@
                 return false;
             }
             Member suspected = *found->second.member;
+            suspected.wasLeaving = rank.state == MemberState::Leaving;
             suspected.state = MemberState::Suspected;
             store(std::move(suspected), {}, changes);
         }
@@ -278,7 +279,7 @@
             isWanted.at(bucket % BucketCount) = true;
         }
         std::vector<MemberPointer> entries;
-        for (const MemberPointer &member : *members()) {
+        for (const MemberList list = members(); const MemberPointer &member : *list) {
             if (isWanted.at(bucketOf(member->daemon))) {
                 entries.push_back(member);
             }
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -51,7 +51,7 @@
     std::function<bool(const v1::SuspectEntry &)> mergeSuspect; /**< Returns whether the entry was news. */
     /** Called when there is something to push: the daemon's gossip thread calls pushNow() soon. Must not block. */
     std::function<void()> wake;
-    /** Runs a task that waits for the network, on another thread. If empty, tasks run on the calling thread. */
+    /** Runs a task that waits for the network, on another thread. If empty, tasks run on the calling thread. No task may be dropped. */
     std::function<void(std::function<void()>)> execute;
 };
 
@@ -111,8 +111,8 @@
         refreshLinks();
         for (const LinkPointer &link : pendingLinks()) {
             execute([this, link] {
-                push(*link);
-                link->isBusy = false;
+                const bool isDrained = push(*link);
+                release(*link, isDrained);
             });
         }
         for (const std::string &daemon : takeChecks()) {
@@ -456,19 +456,23 @@
     v1::ExchangeRequest summaryRequest(const std::vector<uint32_t> &buckets) const
     {
         v1::ExchangeRequest request;
+        std::array<std::vector<MemberPointer>, MembershipView<C>::BucketCount> entries;
+        for (const MemberList list = m_view.members(); const MemberPointer &member : *list) {
+            if (member->isLive()) {
+                entries.at(m_view.bucketOf(member->daemon)).push_back(member);
+            }
+        }
         for (const uint32_t bucket : buckets) {
             if (static_cast<std::size_t>(request.summaries_size()) >= m_options.maxSummaries) {
                 break;
             }
             request.add_wanted_buckets(bucket);
-            for (const MemberPointer &member : m_view.entriesOf({ bucket })) {
-                if (member->isLive()) {
-                    v1::MemberSummary &summary = *request.add_summaries();
-                    summary.set_daemon(member->daemon);
-                    summary.set_incarnation(member->incarnation);
-                    summary.set_revision(member->revision);
-                    summary.set_state(static_cast<uint32_t>(member->state));
-                }
+            for (const MemberPointer &member : entries.at(bucket)) {
+                v1::MemberSummary &summary = *request.add_summaries();
+                summary.set_daemon(member->daemon);
+                summary.set_incarnation(member->incarnation);
+                summary.set_revision(member->revision);
+                summary.set_state(static_cast<uint32_t>(member->state));
             }
         }
         return request;
@@ -628,7 +632,7 @@
     {
         std::set<std::string> live;
         std::vector<std::string> candidates;
-        for (const MemberPointer &member : *m_view.members()) {
+        for (const MemberList list = m_view.members(); const MemberPointer &member : *list) {
             if (member->isLive()) {
                 live.insert(member->peerAddress);
             } else if (member->state == MemberState::Failed) {
@@ -815,7 +819,18 @@
         }
     }
 
-    void push(Link &link)
+    /** Ends the use of a link. Changes made in the meantime were skipped by other pushes, so they are pushed now. */
+    void release(Link &link, bool isDrained)
+    {
+        const bool hasMore = isDrained && (link.memberCursor < m_view.sequence() || link.configCursor < m_configs.sequence());
+        link.isBusy = false;
+        if (hasMore) {
+            wake();
+        }
+    }
+
+    /** @return whether everything was sent */
+    bool push(Link &link)
     {
         // The limit keeps a large change, for instance a healed partition, from becoming one burst.
         constexpr unsigned MaxMessages = 2;
@@ -825,15 +840,16 @@
                 link.memberCursor = outgoing.memberCursor;
                 link.configCursor = outgoing.configCursor;
                 link.suspectsSent = std::move(outgoing.suspects);
-                return;
+                return true;
             }
             const std::optional<Answer> answer = send(link, std::move(outgoing));
             if (!answer) {
                 noteUnreachable(link.daemon);
-                return;
+                return false;
             }
             sendCorrections(link.address, *answer);
         }
+        return false;
     }
 
     void sendCorrections(const std::string &address, const Answer &answer)
@@ -883,7 +899,7 @@
                 link->compareConfigsAt = m_ticks + QuietTicks;
             }
         }
-        link->isBusy = false;
+        release(*link, answer.has_value());
         if (!answer) {
             heartbeatFailed(*link);
         }
@@ -902,7 +918,7 @@
             return;
         }
         std::vector<MemberPointer> others;
-        for (const MemberPointer &member : *m_view.members()) {
+        for (const MemberList list = m_view.members(); const MemberPointer &member : *list) {
             if (member->region == lost->region && member->isLive() && member != lost) {
                 others.push_back(member);
             }
@@ -971,7 +987,7 @@
     std::vector<MemberPointer> helpersFor(const Member &member)
     {
         std::vector<MemberPointer> helpers;
-        for (const MemberPointer &candidate : *m_view.members()) {
+        for (const MemberList list = m_view.members(); const MemberPointer &candidate : *list) {
             if (candidate->state <= MemberState::Leaving && candidate->daemon != member.daemon && candidate->daemon != m_view.ownId()) {
                 helpers.push_back(candidate);
             }
--- a/src/process/wireentries.cpp
+++ b/src/process/wireentries.cpp
@@ -39,6 +39,7 @@
     entry.set_target_incarnation(member.targetIncarnation);
     entry.set_slots(member.slots);
     entry.set_state(static_cast<uint32_t>(member.state));
+    entry.set_was_leaving(member.wasLeaving);
     return entry;
 }
 
@@ -57,6 +58,7 @@
     member.targetAddress = entry.target_address();
     member.targetIncarnation = entry.target_incarnation();
     member.slots = entry.slots();
+    member.wasLeaving = entry.was_leaving();
     if (entry.state() > static_cast<uint32_t>(MemberState::Left)) {
         return std::nullopt;
     }
--- a/tests/process/gossiptest.cpp
+++ b/tests/process/gossiptest.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <thread>
+
 using namespace carobjunction;
 using namespace carobjunction::testing;
 
@@ -42,3 +44,274 @@
         CHECK(node->configs.entry("ordering")->version == 4);
     }
 }
+
+TEST_CASE("Gossip.lossRepetitionAndReordering.viewsConverge", "[gossip]")
+{
+    // Guards against states that lost, repeated or late messages leave different for ever.
+    CHECK(rc::check([] {
+        MemoryCluster cluster;
+        cluster.network.random.seed(*rc::gen::arbitrary<uint64_t>());
+        const auto count = *rc::gen::inRange<std::size_t>(4, 14);
+        cluster.startAll(count, 2);
+        cluster.network.lossShare = 0.2;
+        cluster.network.repeatShare = 0.2;
+        cluster.network.lateShare = 0.3;
+        std::map<std::string, MemberRank> ranks;
+        for (int step = 0; step < 12; ++step) {
+            const std::size_t changed = *rc::gen::inRange<std::size_t>(0, count);
+            cluster.node(changed).gossip.updateOwn([&](Member &own) { own.slots += 1; });
+            cluster.node(changed).configs.offer(configEntry("ordering", *rc::gen::inRange<uint64_t>(1, 9), "one content"));
+            cluster.tick(1);
+            for (const auto &[address, node] : cluster.network.nodes) {
+                for (const MemberList list = node->view.members(); const MemberPointer &member : *list) {
+                    MemberRank &former = ranks[address + " " + member->daemon];
+                    RC_ASSERT(former <= member->rank());
+                    former = member->rank();
+                }
+            }
+        }
+        cluster.network.lossShare = 0;
+        cluster.tick(25);
+        RC_ASSERT(cluster.hasConverged());
+        const auto newest = cluster.node(0).configs.entry("ordering")->version;
+        for (const auto &[address, node] : cluster.network.nodes) {
+            RC_ASSERT(node->view.members()->size() == count);
+            RC_ASSERT(node->configs.entry("ordering")->version == newest);
+            for (const MemberList list = node->view.members(); const MemberPointer &member : *list) {
+                RC_ASSERT(member->state == MemberState::Up);
+            }
+        }
+    }));
+}
+
+TEST_CASE("Gossip.stoppedDaemon.becomesFailedEverywhere", "[gossip]")
+{
+    // Guards against calls that go on to a dead daemon.
+    MemoryCluster cluster;
+    cluster.startAll(12, 2);
+    cluster.tick(5);
+    cluster.network.nodes.erase(MemoryCluster::memberOf(7, 2).peerAddress);
+    cluster.tick(12);
+    for (const auto &[address, node] : cluster.network.nodes) {
+        CHECK(node->view.find("daemon-7")->state == MemberState::Failed);
+    }
+    CHECK(cluster.node(0).view.targets("service-7")->empty());
+}
+
+TEST_CASE("Gossip.oneDaemonWithBrokenLinks.evictsNobody", "[gossip]")
+{
+    // Guards against one daemon's bad view, or its own network cut, that evicts healthy targets for all.
+    MemoryCluster cluster;
+    cluster.startAll(12, 2);
+    cluster.tick(5);
+    const std::string broken = MemoryCluster::memberOf(4, 2).peerAddress;
+    const bool isWholeCut = GENERATE(false, true);
+    const std::string victim = MemoryCluster::memberOf(6, 2).peerAddress;
+    cluster.network.isCut = [&](const std::string &from, const std::string &to) {
+        return isWholeCut ? from == broken || to == broken : from == broken && to == victim;
+    };
+    for (int step = 0; step < 15; ++step) {
+        cluster.node(4).gossip.noteUnreachable("daemon-6");
+        cluster.tick(1);
+        for (const auto &[address, node] : cluster.network.nodes) {
+            for (const MemberList list = node->view.members(); const MemberPointer &member : *list) {
+                CHECK((member->state == MemberState::Up || (isWholeCut && member->daemon == "daemon-4")));
+            }
+        }
+    }
+    CHECK((cluster.node(2).view.find("daemon-4")->state == MemberState::Failed) == isWholeCut);
+    cluster.network.isCut = {};
+    cluster.tick(20);
+    CHECK(cluster.hasConverged());
+    CHECK(cluster.node(2).view.find("daemon-4")->state == MemberState::Up);
+}
+
+TEST_CASE("Gossip.regionsApartForAnHour.nobodyFailsAndViewsJoinInBoundedMessages", "[gossip]")
+{
+    // Guards against evicting a whole region, a burst at the healing, and stale entries that win.
+    MemoryCluster cluster;
+    cluster.startAll(60, 2);
+    cluster.tick(5);
+    cluster.network.isCut = [&](const std::string &from, const std::string &to) {
+        return cluster.network.regions.at(from) != cluster.network.regions.at(to);
+    };
+    cluster.tick(20);
+    for (const MemberList list = cluster.node(0).view.members(); const MemberPointer &member : *list) {
+        CHECK(member->state == MemberState::Up);
+    }
+    // In each region some leave for good, some restart, and the configuration goes on in one.
+    for (const std::size_t number : { 10U, 11U, 20U, 21U, 31U }) {
+        cluster.node(number).gossip.updateOwn([](Member &own) { own.state = MemberState::Left; });
+        cluster.network.runWakes();
+        cluster.network.nodes.erase(MemoryCluster::memberOf(number, 2).peerAddress);
+    }
+    cluster.start(MemoryCluster::memberOf(20, 2, 1700000009999), { MemoryCluster::memberOf(0, 2).peerAddress });
+    cluster.node(1).configs.offer(configEntry("ordering", 2, "new"));
+    cluster.tick(5);
+    cluster.clock.advance(std::chrono::hours(1));
+    cluster.tick(5);
+    cluster.network.isCut = {};
+    cluster.network.traffic.clear();
+    cluster.tick(15);
+    CHECK(cluster.hasConverged());
+    for (const auto &[address, node] : cluster.network.nodes) {
+        for (const std::size_t number : { 10U, 11U, 21U, 31U }) {
+            const MemberPointer former = node->view.find("daemon-" + std::to_string(number));
+            CHECK((!former || !former->isLive()));
+        }
+        CHECK(node->view.find("daemon-20")->incarnation == 1700000009999);
+        REQUIRE(node->configs.entry("ordering"));
+        CHECK(node->configs.entry("ordering")->version == 2);
+        CHECK(cluster.network.traffic[address].largest < 200 * 200);
+    }
+}
+
+TEST_CASE("Gossip.firstPeerAnswer.makesReadyOnlyIfThePeerIs", "[gossip]")
+{
+    // Guards against a daemon that refuses services as unknown because it took an uninformed peer's word.
+    MemoryCluster cluster;
+    cluster.startAll(3, 1);
+    cluster.tick(4);
+    CHECK_FALSE(cluster.node(0).gossip.isReady());
+    cluster.node(2).configs.offer(configEntry("ordering", 1, "a"));
+    cluster.node(2).gossip.noteStorePolled();
+    cluster.tick(4);
+    CHECK(cluster.node(0).gossip.isReady());
+    CHECK(cluster.node(0).configs.entry("ordering"));
+}
+
+TEST_CASE("Gossip.randomAndTruncatedMessages.haveNoEffectBeyondValidEntries", "[gossip]")
+{
+    // Guards against crashes and false members through damaged or hostile messages.
+    CHECK(rc::check([] {
+        MemoryCluster cluster;
+        MemoryNode &node = cluster.start(MemoryCluster::memberOf(0, 1), {});
+        node.configs.offer(configEntry("ordering", 3, "a"));
+        v1::ExchangeRequest request;
+        request.set_daemon(*rc::gen::arbitrary<std::string>());
+        const auto count = *rc::gen::inRange(0, 5);
+        for (int number = 0; number < count; ++number) {
+            Member member = MemoryCluster::memberOf(static_cast<std::size_t>(number), 1);
+            member.incarnation = *rc::gen::arbitrary<uint64_t>();
+            member.revision = *rc::gen::arbitrary<uint64_t>();
+            v1::MemberEntry entry = toWire(member);
+            entry.set_state(*rc::gen::inRange<uint32_t>(0, 8));
+            if (*rc::gen::arbitrary<bool>()) {
+                entry.set_region(*rc::gen::arbitrary<std::string>());
+            }
+            *request.add_members() = entry;
+            v1::MemberSummary &summary = *request.add_summaries();
+            summary.set_daemon(*rc::gen::arbitrary<std::string>());
+            summary.set_state(*rc::gen::arbitrary<uint32_t>());
+            request.add_wanted_buckets(*rc::gen::arbitrary<uint32_t>());
+            request.add_wanted_configs(*rc::gen::arbitrary<std::string>());
+            *request.add_configs()
+                = toWire(ConfigEntry { "ordering", *rc::gen::arbitrary<uint64_t>(), "no hash", {}, {}, 0, *rc::gen::arbitrary<std::string>() });
+        }
+        std::string bytes = request.SerializeAsString();
+        if (!bytes.empty() && *rc::gen::arbitrary<bool>()) {
+            bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+        }
+        for (int flip = *rc::gen::inRange(0, 3); flip > 0 && !bytes.empty(); --flip) {
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        }
+        v1::ExchangeRequest received;
+        received.ParseFromString(bytes);
+        node.gossip.onExchange(received);
+        RC_ASSERT(node.configs.entry("ordering")->version == 3U);
+        RC_ASSERT(node.view.own().state == MemberState::Up);
+        std::set<std::string> valid { "daemon-0" };
+        for (const v1::MemberEntry &entry : received.members()) {
+            if (fromWire(entry)) {
+                valid.insert(entry.daemon());
+            }
+        }
+        for (const MemberList list = node.view.members(); const MemberPointer &member : *list) {
+            RC_ASSERT(valid.count(member->daemon) == 1U);
+            RC_ASSERT(MembershipView<>::isValid(*member));
+        }
+    }));
+}
+
+namespace
+{
+
+/** Calls the other nodes directly, on the calling thread. */
+struct DirectTransport {
+    std::optional<v1::ExchangeResponse> exchange(const std::string &address, const v1::ExchangeRequest &request, Duration)
+    {
+        return answer(address, request);
+    }
+
+    std::optional<bool> indirectProbe(const std::string &, const v1::IndirectProbeRequest &, Duration)
+    {
+        return std::nullopt;
+    }
+
+    std::function<v1::ExchangeResponse(const std::string &, const v1::ExchangeRequest &)> answer;
+};
+
+using DirectGossip = Gossip<DirectTransport, SteadyClock>;
+
+} // namespace
+
+TEST_CASE("Gossip.threadsThatChangePushAndAnswerTogether.loseNoChange", "[gossip]")
+{
+    // Guards against data races, and against a change that no push sends because another push holds the link.
+    constexpr std::size_t Count = 6;
+    constexpr uint64_t Changes = 200;
+    const SteadyClock clock;
+    std::map<std::string, DirectGossip *> addresses;
+    DirectTransport transport { [&](const std::string &address, const v1::ExchangeRequest &request) {
+        return addresses.at(address)->onExchange(request);
+    } };
+    std::vector<std::unique_ptr<MembershipView<SteadyClock>>> views;
+    std::vector<std::unique_ptr<ConfigTable>> tables;
+    std::vector<std::unique_ptr<DirectGossip>> nodes;
+    std::vector<std::atomic<bool>> isWoken(Count);
+    for (std::size_t number = 0; number < Count; ++number) {
+        const Member own = MemoryCluster::memberOf(number, 1);
+        views.push_back(std::make_unique<MembershipView<SteadyClock>>(clock, own));
+        tables.push_back(std::make_unique<ConfigTable>([](const auto &...) { return std::make_shared<ServiceConfig>(); }));
+        GossipHooks hooks;
+        hooks.wake = [&flag = isWoken[number]] {
+            flag = true;
+        };
+        GossipOptions options;
+        options.seeds = { MemoryCluster::memberOf(0, 1).peerAddress, MemoryCluster::memberOf(1, 1).peerAddress };
+        nodes.push_back(std::make_unique<DirectGossip>(transport, clock, *views.back(), *tables.back(), options, hooks));
+        addresses[own.peerAddress] = nodes.back().get();
+    }
+    for (int step = 0; step < 4; ++step) {
+        for (const auto &node : nodes) {
+            node->tick();
+        }
+    }
+    std::vector<std::thread> threads;
+    for (std::size_t number = 0; number < Count; ++number) {
+        threads.emplace_back([&, number] {
+            for (uint64_t change = 1; change <= Changes; ++change) {
+                nodes[number]->updateOwn([&](Member &own) { own.targetIncarnation = change; });
+                tables[number]->offer(configEntry("service", change, "content " + std::to_string(change)));
+                nodes[number]->pushNow();
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    for (bool isQuiet = false; !isQuiet;) {
+        isQuiet = true;
+        for (std::size_t number = 0; number < Count; ++number) {
+            if (isWoken[number].exchange(false)) {
+                isQuiet = false;
+                nodes[number]->pushNow();
+            }
+        }
+    }
+    for (const auto &view : views) {
+        for (std::size_t number = 0; number < Count; ++number) {
+            CHECK(view->find("daemon-" + std::to_string(number))->targetIncarnation == Changes);
+        }
+    }
+}
--- /dev/null
+++ b/tests/process/membershipviewtest.cpp
@@ -0,0 +1,194 @@
+#include "process/memorycluster.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace carobjunction;
+using namespace carobjunction::testing;
+
+namespace
+{
+
+using View = MembershipView<FakeClock>;
+
+Member entryOf(std::size_t number, uint64_t incarnation, uint64_t revision, MemberState state)
+{
+    Member member = MemoryCluster::memberOf(number, 1, incarnation);
+    member.revision = revision;
+    member.state = state;
+    return member;
+}
+
+rc::Gen<std::vector<Member>> anyEntries()
+{
+    const auto entry = rc::gen::apply(
+        [](int number, int incarnation, int revision, int state) {
+            return entryOf(
+                static_cast<std::size_t>(number), static_cast<uint64_t>(incarnation), static_cast<uint64_t>(revision), static_cast<MemberState>(state));
+        },
+        rc::gen::inRange(1, 6),
+        rc::gen::inRange(1, 4),
+        rc::gen::inRange(0, 4),
+        rc::gen::inRange(0, 5));
+    return rc::gen::container<std::vector<Member>>(entry);
+}
+
+} // namespace
+
+TEST_CASE("MembershipView.sameEntriesInAnyOrderAndNumber.viewsAreEqual", "[membership]")
+{
+    // Guards against views that stay different, and against entries that go back to an older rank.
+    CHECK(rc::check([] {
+        const FakeClock clock;
+        const std::vector<Member> entries = *anyEntries();
+        std::vector<Member> others = entries;
+        others.insert(others.end(), entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(entries.size() / 2));
+        std::shuffle(others.begin(), others.end(), std::mt19937_64(*rc::gen::arbitrary<uint64_t>()));
+        View first(clock, entryOf(0, 1, 0, MemberState::Up));
+        View second(clock, entryOf(0, 1, 0, MemberState::Up));
+        first.merge(entries, "x");
+        for (const Member &entry : others) {
+            const MemberPointer before = second.find(entry.daemon);
+            second.merge({ entry }, "y");
+            RC_ASSERT(second.find(entry.daemon)->rank() >= entry.rank());
+            RC_ASSERT((!before || second.find(entry.daemon)->rank() >= before->rank()));
+        }
+        RC_ASSERT(first.digest() == second.digest());
+        RC_ASSERT(first.members()->size() == second.members()->size());
+        for (const MemberList list = first.members(); const MemberPointer &member : *list) {
+            RC_ASSERT(*member == *second.find(member->daemon));
+        }
+    }));
+}
+
+TEST_CASE("MembershipView.lateEntryOfRemovedMember.doesNotReviveIt", "[membership]")
+{
+    // Guards against a delayed message that brings back a former process.
+    CHECK(rc::check([] {
+        FakeClock clock;
+        View view(clock, entryOf(0, 1, 0, MemberState::Up));
+        const auto incarnation = *rc::gen::inRange<uint64_t>(1, 5);
+        const auto revision = *rc::gen::inRange<uint64_t>(0, 5);
+        view.merge({ entryOf(1, incarnation, revision, *rc::gen::element(MemberState::Failed, MemberState::Left)) }, "x");
+        clock.advance(std::chrono::minutes(10));
+        view.expire(true);
+        RC_ASSERT(!view.find("daemon-1"));
+        const auto lateIncarnation = *rc::gen::inRange<uint64_t>(1, incarnation + 1);
+        const uint64_t lateRevision = lateIncarnation == incarnation ? *rc::gen::inRange<uint64_t>(0, revision + 1) : 9;
+        const MergeResult result = view.merge({ entryOf(1, lateIncarnation, lateRevision, MemberState::Up) }, "x");
+        RC_ASSERT(!view.find("daemon-1"));
+        RC_ASSERT(result.corrections.size() == 1U);
+        // A new process of the same daemon is let in.
+        view.merge({ entryOf(1, incarnation + 1, 0, MemberState::Up) }, "x");
+        RC_ASSERT(view.find("daemon-1")->isLive());
+    }));
+}
+
+TEST_CASE("MembershipView.wrongEntryAboutItself.isRefuted", "[membership]")
+{
+    // Guards against a healthy daemon that stays evicted after others suspected it.
+    CHECK(rc::check([] {
+        const FakeClock clock;
+        View view(clock, entryOf(0, 2, 3, MemberState::Up));
+        const Member wrong
+            = entryOf(0, *rc::gen::inRange<uint64_t>(1, 4), *rc::gen::inRange<uint64_t>(0, 6), *rc::gen::element(MemberState::Failed, MemberState::Left));
+        const MemberRank before = view.own().rank();
+        view.merge({ wrong }, "x");
+        RC_ASSERT(view.own().state == MemberState::Up);
+        RC_ASSERT(view.own().rank() >= before);
+        RC_ASSERT(view.own().rank() > wrong.rank());
+    }));
+}
+
+TEST_CASE("MembershipView.suspectedWhileLeaving.acceptsNoWork", "[membership]")
+{
+    // Guards against a suspicion that hides from routing that a target is leaving.
+    const FakeClock clock;
+    View view(clock, entryOf(0, 1, 0, MemberState::Up));
+    view.merge({ entryOf(60, 1, 0, MemberState::Leaving), entryOf(120, 1, 0, MemberState::Up) }, "x");
+    CHECK(view.suspect("daemon-60", view.find("daemon-60")->rank()));
+    CHECK(view.suspect("daemon-120", view.find("daemon-120")->rank()));
+    REQUIRE(view.targets("service-0")->size() == 2);
+    CHECK(view.targets("service-0")->back()->daemon == "daemon-120");
+}
+
+TEST_CASE("MembershipView.handlerThatReadsTheView.doesNotDeadlock", "[membership]")
+{
+    // Guards against change handlers that are called with the view's lock held.
+    const FakeClock clock;
+    View view(clock, entryOf(0, 1, 0, MemberState::Up));
+    std::vector<std::string> seen;
+    view.setChangeHandler([&](const MemberChange &change) { seen.push_back(view.find(change.after->daemon)->daemon); });
+    view.merge({ entryOf(1, 1, 0, MemberState::Up) }, "x");
+    CHECK(seen == std::vector<std::string> { "daemon-1" });
+}
+
+namespace
+{
+
+using Links = std::set<std::pair<std::string, std::string>>;
+
+Links linksOf(const std::vector<MemberPointer> &members)
+{
+    Links links;
+    for (const MemberPointer &member : members) {
+        const Neighbours neighbours = neighboursOf(members, member->daemon);
+        for (const auto &part : { neighbours.local, neighbours.remote }) {
+            for (const std::string &to : part) {
+                links.emplace(member->daemon, to);
+            }
+        }
+    }
+    return links;
+}
+
+std::vector<MemberPointer> membersFrom(std::size_t first, std::size_t count)
+{
+    std::vector<MemberPointer> members;
+    for (std::size_t number = 0; number < count; ++number) {
+        members.push_back(std::make_shared<const Member>(MemoryCluster::memberOf(first + number, 2)));
+    }
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("Overlay.anyMembers.connectsAll", "[membership]")
+{
+    // Guards against daemons that no push reaches.
+    CHECK(rc::check([] {
+        const auto members = membersFrom(*rc::gen::inRange<std::size_t>(0, 100000), *rc::gen::inRange<std::size_t>(2, 120));
+        const Links links = linksOf(members);
+        std::set<std::string> reached { members.front()->daemon };
+        for (std::size_t before = 0; before != reached.size();) {
+            before = reached.size();
+            for (const auto &[from, to] : links) {
+                if (reached.count(from) > 0) {
+                    reached.insert(to);
+                }
+            }
+        }
+        RC_ASSERT(reached.size() == members.size());
+    }));
+}
+
+TEST_CASE("Overlay.oneJoinOrLeave.changesFewLinks", "[membership]")
+{
+    // Guards against reconnecting everywhere at each restart.
+    const std::size_t count = GENERATE(20U, 100U);
+    const auto members = membersFrom(0, count);
+    const Links all = linksOf(members);
+    std::size_t changed = 0;
+    for (const MemberPointer &leaver : members) {
+        std::vector<MemberPointer> others = members;
+        std::erase(others, leaver);
+        const Links rest = linksOf(others);
+        for (const auto &link : all) {
+            changed += link.first != leaver->daemon && link.second != leaver->daemon && rest.count(link) == 0 ? 1 : 0;
+        }
+        changed += static_cast<std::size_t>(std::count_if(rest.begin(), rest.end(), [&](const auto &link) { return all.count(link) == 0; }));
+    }
+    // On average a leave may redirect as many links as a daemon has in both directions.
+    const OverlayOptions options;
+    CHECK(changed <= 2 * (options.successors + options.longLinks) * count);
+}
