Add the command-line tool

Cause: operators had no tool to check, publish and inspect. Change: carobjunction with the commands check, publish, in-force, targets, explain, suspects and drain, text and JSON output, and exit codes for done, negative answer, wrong usage and unreachable. Measured: 3 test cases run the built tool against a stand-in store and a fake daemon and pass. Conclusion: all commands work against the store's protocol and the agreed operator API.

--- /dev/null
+++ b/cli/check.cpp
@@ -0,0 +1,77 @@
+#include "command.h"
+#include "textfile.h"
+
+#include <carobjunction/version/serviceconfigparser.h>
+
+#include "process/settingsparser.h"
+#include "version/yamlnode.h"
+
+namespace carobjunction
+{
+
+namespace
+{
+
+struct CheckOptions {
+    std::vector<std::string> files;
+    OutputFormat output = OutputFormat::Text;
+};
+
+/** Only settings files have the key `daemon`. */
+bool isSettings(const std::string &text, const std::string &file)
+{
+    std::vector<ConfigFault> faults;
+    const auto root = YamlNode::parse(text, file, faults);
+    return root && root->find("daemon") != nullptr;
+}
+
+Json toJson(const std::vector<ConfigFault> &faults)
+{
+    Json rows = Json::array();
+    for (const ConfigFault &fault : faults) {
+        rows.push_back({ { "line", fault.line }, { "column", fault.column }, { "field", fault.field }, { "reason", fault.reason } });
+    }
+    return rows;
+}
+
+ExitCode check(const CheckOptions &options)
+{
+    ExitCode result = ExitCode::Ok;
+    Json report = Json::array();
+    for (const std::string &file : options.files) {
+        const auto text = readTextFile(file);
+        if (!text) {
+            return ExitCode::Usage;
+        }
+        const bool settings = isSettings(*text, file);
+        const std::vector<ConfigFault> faults = settings ? SettingsParser::parse(*text, file).faults : ServiceConfigParser::parse(*text, file).faults;
+        result = faults.empty() ? result : ExitCode::Negative;
+        report.push_back({ { "file", file }, { "kind", settings ? "settings" : "service" }, { "faults", toJson(faults) } });
+        if (options.output == OutputFormat::Json) {
+            continue;
+        }
+        for (const ConfigFault &fault : faults) {
+            printLine(fault.toString());
+        }
+        if (faults.empty()) {
+            printLine(file + ": valid " + (settings ? "settings" : "service configuration"));
+        }
+    }
+    if (options.output == OutputFormat::Json) {
+        printJson({ { "files", report } });
+    }
+    return result;
+}
+
+} // namespace
+
+void addCheckCommand(CLI::App &app, ExitCode &exitCode)
+{
+    const auto options = std::make_shared<CheckOptions>();
+    CLI::App *command = app.add_subcommand("check", "Check service configurations and settings files, and print all their faults");
+    command->add_option("FILE", options->files, "files to check; a file with the key `daemon` is read as settings")->required()->check(CLI::ExistingFile);
+    addOutputOption(*command, options->output);
+    command->callback([options, &exitCode] { exitCode = check(*options); });
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/cli/targets.cpp
@@ -0,0 +1,49 @@
+#include "command.h"
+#include "operatorclient.h"
+
+namespace carobjunction
+{
+
+namespace
+{
+
+struct TargetsOptions {
+    std::string service;
+    std::string operatorAddress;
+    OutputFormat output = OutputFormat::Text;
+};
+
+ExitCode showTargets(const TargetsOptions &options)
+{
+    OperatorClient client(options.operatorAddress);
+    const auto answer
+        = client.get("/v1/targets", options.service.empty() ? OperatorClient::Parameters {} : OperatorClient::Parameters { { "service", options.service } });
+    if (!answer) {
+        return client.failure();
+    }
+    const Json targets = answer->value("targets", Json::array());
+    if (options.output == OutputFormat::Json) {
+        printJson(*answer);
+    } else if (!targets.empty()) {
+        printTable(targets);
+    }
+    if (targets.empty()) {
+        printError("the daemon knows no targets" + (options.service.empty() ? "" : " of " + options.service));
+        return ExitCode::Negative;
+    }
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+void addTargetsCommand(CLI::App &app, ExitCode &exitCode)
+{
+    const auto options = std::make_shared<TargetsOptions>();
+    CLI::App *command = app.add_subcommand("targets", "Show the targets that one daemon knows");
+    command->add_option("SERVICE", options->service, "only this service");
+    addAddressOption(*command, "--operator", options->operatorAddress, "operator port of a daemon")->required();
+    addOutputOption(*command, options->output);
+    command->callback([options, &exitCode] { exitCode = showTargets(*options); });
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/tests/process/commandlinetest.cpp
@@ -0,0 +1,192 @@
+#include "../../tools/standin-store/standinserver.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/wait.h>
+
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+using namespace carobjunction;
+
+namespace
+{
+
+struct RunResult {
+    int exitCode = -1;
+    std::string output; /**< Standard output and standard error. */
+};
+
+/** Runs the built tool. @param arguments  words for the shell */
+RunResult run(const std::string &arguments)
+{
+    RunResult result;
+    FILE *pipe = popen((std::string(CAROBJUNCTION_BINARY_DIR) + "/cli/carobjunction " + arguments + " 2>&1").c_str(), "r");
+    REQUIRE(pipe != nullptr);
+    std::array<char, 4096> buffer {};
+    while (const size_t count = std::fread(buffer.data(), 1, buffer.size(), pipe)) {
+        result.output.append(buffer.data(), count);
+    }
+    const int status = pclose(pipe);
+    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return result;
+}
+
+/** Serves until it goes out of scope. */
+template<typename Server>
+class ServerThread
+{
+public:
+    explicit ServerThread(Server &server, std::function<void()> serve) : m_server(server), m_thread(std::move(serve))
+    {
+        while (!m_server.is_running()) {
+            std::this_thread::yield();
+        }
+    }
+
+    ~ServerThread()
+    {
+        m_server.stop();
+        m_thread.join();
+    }
+
+    ServerThread(const ServerThread &) = delete;
+    ServerThread &operator=(const ServerThread &) = delete;
+
+private:
+    Server &m_server;
+    std::thread m_thread;
+};
+
+/** StandinServer with the name of httplib's function. */
+struct StoreServer : StandinServer {
+    using StandinServer::StandinServer;
+
+    bool is_running() const
+    {
+        return isRunning();
+    }
+};
+
+std::string addressOf(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+const std::string Examples = std::string(CAROBJUNCTION_SOURCE_DIR) + "/examples/";
+
+/** File that is removed when it goes out of scope. */
+class TemporaryFile
+{
+public:
+    explicit TemporaryFile(const std::string &text) : m_path(std::filesystem::temp_directory_path() / ("carobjunction-" + std::to_string(getpid()) + ".yaml"))
+    {
+        std::ofstream(m_path) << text;
+    }
+
+    ~TemporaryFile()
+    {
+        std::filesystem::remove(m_path);
+    }
+
+    TemporaryFile(const TemporaryFile &) = delete;
+    TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+    std::string path() const
+    {
+        return m_path.string();
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+} // namespace
+
+TEST_CASE("CommandLine.check.printsAllFaultsAndExitsWithOne")
+{
+    // Guards against a continuous integration step that passes over a faulty file.
+    const RunResult valid = run("check " + Examples + "nullagine/ordering.yaml " + Examples + "settings.yaml");
+    CHECK(valid.exitCode == 0);
+    const TemporaryFile file("service: S\nroutes: [{method: GET, path: /a}]\n");
+    const RunResult faulty = run("check " + file.path());
+    CHECK(faulty.exitCode == 1);
+    CHECK(faulty.output.find(file.path() + ":1:10: service: must be") == 0);
+    CHECK(faulty.output.find(file.path() + ":2:10: routes[0].idempotent: missing, but required\n") != std::string::npos);
+    CHECK(run("check " + file.path() + "-missing").exitCode == 2);
+    CHECK(run("").exitCode == 2);
+    CHECK(run("publish --help").exitCode == 0);
+}
+
+TEST_CASE("CommandLine.publish.changesAndShowsTheConfigurationInForce")
+{
+    // Guards against exit codes that do not fit what happened in the store.
+    StoreServer store(8);
+    const std::string address = addressOf(store.bind("127.0.0.1", 0));
+    const std::string file = Examples + "nullagine/ordering.yaml";
+    const std::string publish = " --publisher ana --store " + address;
+    {
+        const ServerThread thread(store, [&store] { store.run(); });
+        CHECK(run("in-force --store " + address).exitCode == 1);
+        CHECK(run("publish " + file + publish).exitCode == 0);
+        CHECK(run("publish " + file + publish).output.find("unchanged: version 1") != std::string::npos);
+        std::ifstream stream(file);
+        const std::string text(std::istreambuf_iterator<char>(stream), {});
+        CHECK(run("in-force ordering --content --store " + address).output == text);
+        const TemporaryFile changed(text + "# changed\n");
+        const RunResult conflict = run("publish " + changed.path() + " --publish-id 0-ab" + publish);
+        CHECK(conflict.exitCode == 1);
+        CHECK(conflict.output.find("conflict: ana published version 1") != std::string::npos);
+        CHECK(conflict.output.find("+# changed\n") != std::string::npos);
+    }
+    CHECK(run("publish " + file + publish).exitCode == 3);
+    CHECK(run("in-force --store " + address).exitCode == 3);
+}
+
+TEST_CASE("CommandLine.operatorCommands.callTheDaemon")
+{
+    // Guards against wrong paths and methods, against hidden failures, and against control characters on the terminal.
+    httplib::Server daemon;
+    const std::string address = " --operator " + addressOf(daemon.bind_to_any_port("127.0.0.1"));
+    const auto answer = [](const char *body, int status = 200) {
+        return [body, status](const httplib::Request &, httplib::Response &response) {
+            response.status = status;
+            response.set_content(body, "application/json");
+        };
+    };
+    daemon.Get("/v1/targets", answer(R"({"targets":[{"target":"t1","path":"a\u001b[31m"},{"target":"t2","age_ms":3}]})"));
+    daemon.Get("/v1/explain", [](const httplib::Request &request, httplib::Response &response) {
+        response.status = request.get_param_value("request") == "a&b" ? 200 : 404;
+        response.set_content(R"({"reason":"none","candidates":[{"target":"t1"}]})", "application/json");
+    });
+    daemon.Get("/v1/suspects", answer(R"({"suspects":[]})"));
+    daemon.Delete("/v1/suspects/ab12", answer("{}"));
+    daemon.Post("/v1/target/leave", answer(R"({"error":"no target"})", 503));
+    daemon.Get("/v1/in-force", [](const httplib::Request &request, httplib::Response &response) {
+        const bool isLate = request.get_param_value("service") == "late";
+        response.set_content(isLate ? R"({"configs":[{"service":"late","version":1}],"unconfirmed":[{"daemon":"d2","version":0}]})"
+                                    : R"({"configs":[{"service":"ordering","version":1}],"unconfirmed":[]})",
+                             "application/json");
+    });
+    StoreServer store(8);
+    const std::string publish = " --publisher ana --wait --timeout 1ms --store " + addressOf(store.bind("127.0.0.1", 0)) + address;
+    {
+        const ServerThread daemonThread(daemon, [&daemon] { daemon.listen_after_bind(); });
+        const ServerThread storeThread(store, [&store] { store.run(); });
+        CHECK(run("targets" + address).output == "target  path       age_ms\nt1      a\\x1b[31m  -\nt2      -          3\n");
+        CHECK(run("explain 'a&b'" + address).output == "reason: none\ncandidates:\n  -\n    target: t1\n");
+        CHECK(run("explain c" + address).exitCode == 1);
+        CHECK(run("suspects" + address).exitCode == 0);
+        CHECK(run("suspects --clear ab12" + address).exitCode == 0);
+        CHECK(run("suspects --clear ab13" + address).exitCode == 1);
+        CHECK(run("suspects --clear ../x" + address).exitCode == 2);
+        CHECK(run("drain" + address).exitCode == 3);
+        CHECK(run("publish " + Examples + "nullagine/ordering.yaml" + publish).exitCode == 0);
+        const TemporaryFile late("service: late\nroutes: [{method: GET, path: /a, idempotent: yes}]\n");
+        CHECK(run("publish " + late.path() + publish).exitCode == 1);
+        CHECK(run("in-force late --members" + address).exitCode == 1);
+    }
+    CHECK(run("targets" + address).exitCode == 3);
+}
