--- a/tools/standin-backend/backendserver.cpp
+++ b/tools/standin-backend/backendserver.cpp
@@ -18,8 +18,6 @@
 namespace
 {
 
-// A kept-alive connection holds a worker of the HTTP library: 260 connections a target, and spare ones for control.
-constexpr std::size_t WorkerCount = 320;
 // The HTTP library listens with a backlog of 5, which loses connections that are opened in a burst.
 constexpr int ListenBacklog = 512;
 constexpr std::size_t LargestAnswer = 64U << 20U;
@@ -63,8 +61,8 @@
 
 BackendServer::BackendServer(const BackendOptions &options) : m_options(options), m_pool(options.slots), m_rng(options.seed)
 {
-    m_server.new_task_queue = [] {
-        return new httplib::ThreadPool(WorkerCount);
+    m_server.new_task_queue = [workers = options.workers] {
+        return new httplib::ThreadPool(workers);
     };
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(1U << 30U);
