--- a/include/carobjunction/process/suspecttable.h
+++ b/include/carobjunction/process/suspecttable.h
@@ -40,11 +40,11 @@
 {
 public:
     /** Time after the last change for which an entry holds. */
-    static constexpr Duration Lifetime = std::chrono::minutes(10);
+    static constexpr Duration Expiry = std::chrono::minutes(10);
     /** Time for which an expired entry is remembered, so that peers whose copy expires later do not bring it back. */
     static constexpr Duration Retention = std::chrono::minutes(10);
     /** Most entries kept; beyond, the one that expires first is dropped. */
-    static constexpr size_t MostEntries = 10'000;
+    static constexpr size_t MaxEntries = 10'000;
 
     /** @param clock  must outlive the table */
     explicit SuspectTable(const Clock &clock) : m_clock(clock)
@@ -117,7 +117,7 @@
         held.entry.state = condemned ? SuspectState::Condemned : SuspectState::Suspect;
         ++held.entry.crashes;
         held.entry.revision = detail::nextRevision(held.entry.revision);
-        held.expiresAt = now + Lifetime;
+        held.expiresAt = now + Expiry;
         changed.push_back(toEntry(held, now));
     }
     prune(now);
@@ -137,7 +137,7 @@
     held.entry.state = SuspectState::Clear;
     held.entry.crashes = 0;
     held.entry.revision = detail::nextRevision(held.entry.revision);
-    held.expiresAt = now + Lifetime;
+    held.expiresAt = now + Expiry;
     return toEntry(held, now);
 }
 
@@ -158,7 +158,7 @@
     held.entry.state = SuspectState::Clear;
     held.entry.crashes = 0;
     held.entry.revision = detail::clearedRevision(held.entry.revision);
-    held.expiresAt = now + Lifetime;
+    held.expiresAt = now + Expiry;
     return toEntry(held, now);
 }
 
@@ -181,15 +181,15 @@
 {
     const std::lock_guard lock(m_mutex);
     const TimePoint now = m_clock.now();
-    const Duration remaining = std::min(entry.expiresIn, Lifetime);
-    if (remaining <= Duration::zero()) {
+    const Duration remaining = std::min(entry.expiresIn, Expiry);
+    if (entry.fingerprint == 0 || remaining <= Duration::zero()) {
         return false;
     }
     const auto found = m_held.find(entry.fingerprint);
     if (found != m_held.end()) {
         Held &held = found->second;
         // A daemon that started since may begin with low revisions again. Its entry is news if it was made after this one expired.
-        const bool madeAfterExpiry = now + remaining - Lifetime > held.expiresAt;
+        const bool madeAfterExpiry = now + remaining - Expiry > held.expiresAt;
         if (!detail::supersedes(entry, held.entry) && !madeAfterExpiry) {
             if (!detail::supersedes(held.entry, entry)) {
                 // Equal entries keep the earlier expiry; the later one would grow by the transit time with each exchange.
@@ -222,7 +222,7 @@
 void SuspectTable<Clock>::prune(TimePoint now)
 {
     std::erase_if(m_held, [now](const auto &item) { return item.second.expiresAt + Retention <= now; });
-    while (m_held.size() > MostEntries) {
+    while (m_held.size() > MaxEntries) {
         m_held.erase(std::min_element(m_held.begin(), m_held.end(), [](const auto &a, const auto &b) { return a.second.expiresAt < b.second.expiresAt; }));
     }
 }
--- a/tests/process/suspecttabletest.cpp
+++ b/tests/process/suspecttabletest.cpp
@@ -1,7 +1,7 @@
 #include "process/fakeclock.h"
 
-#include <carobjunction/process/fingerprint.h>
 #include <carobjunction/process/suspecttable.h>
+#include <carobjunction/request/fingerprint.h>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
