--- a/src/process/suspectwire.cpp
+++ b/src/process/suspectwire.cpp
@@ -42,8 +42,8 @@
 
 bool mergeSuspectFromWire(SuspectTable<SteadyClock> &table, const v1::SuspectEntry &message)
 {
-    const auto expiry = static_cast<uint64_t>(milliseconds(SuspectTable<SteadyClock>::Expiry));
-    if (message.state() > static_cast<uint32_t>(SuspectState::Condemned) || message.service().size() > MaxServiceLength) {
+    const auto expiry = static_cast<uint64_t>(milliseconds(SuspectTable<SteadyClock>::Lifetime));
+    if (message.fingerprint() == 0 || message.state() > static_cast<uint32_t>(SuspectState::Condemned) || message.service().size() > MaxServiceLength) {
         return false;
     }
     SuspectEntry entry;
