Keep seeds and expired claims under leases, from the representatives of a region

Cause: leases, seed rows and the sweeper of claims existed without a caller; a daemon could not join by the store. Change: StoreTasks runs them once a second on the representatives; joining reads the seeds of all regions when no seed answers. Conclusion: joining works by seeds or by the store.

--- a/include/carobjunction/version/configtable.h
+++ b/include/carobjunction/version/configtable.h
@@ -94,6 +94,9 @@
     /** @return the entries in force, in the order of their services */
     std::vector<std::shared_ptr<const ConfigEntry>> entries() const;
 
+    /** @return the names of the services that have a configuration, in order */
+    std::vector<std::string> services() const;
+
     /** @return the configurations in force, in the order of their services */
     std::vector<Config> configs() const;
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -20,6 +20,7 @@
 constexpr uint32_t MaintenanceRunsPerIdleCheck = 1000;
 constexpr std::chrono::milliseconds ServerStopGrace(500);
 constexpr std::chrono::milliseconds DrainCheckInterval(5);
+constexpr std::chrono::seconds StoreTasksInterval(1);
 constexpr std::chrono::milliseconds ProbeTimeout(500);
 constexpr std::chrono::milliseconds IndirectProbeTimeout(500);
 // Serialized probe and report with the HTTP/2 frames around them.
@@ -134,6 +135,15 @@
         options.daemon = m_settings.daemon;
         options.batchDelay = m_settings.claimBatchDelay;
         m_claims = std::make_unique<Claims>(*m_store, m_clock, m_wallClock, options);
+        m_storeTasks = std::make_unique<StoreTasks>(*m_store,
+                                                    m_clock,
+                                                    m_wallClock,
+                                                    m_settings.region,
+                                                    m_settings.daemon + "-" + randomHex(),
+                                                    StoreTaskSources { [this] { return peersOfRegion(); },
+                                                                       [this] {
+                                                                           return m_configs.services();
+                                                                       } });
         m_poller = std::make_unique<ConfigPoller<StoreClient, SteadyClock>>(
             *m_store, m_clock, m_configs, ConfigPollerOptions { m_settings.configPollInterval }, pollerHooks());
     }
@@ -176,6 +186,9 @@
 GossipHooks Daemon::gossipHooks()
 {
     GossipHooks hooks;
+    hooks.lookupSeeds = [this] {
+        return seedsFromStore();
+    };
     hooks.collectSuspects = [this] {
         return suspectsToWire(m_suspects);
     };
@@ -274,7 +287,7 @@
 {
     m_gossipTask = std::make_unique<PeriodicTask>(m_settings.gossipInterval, [this](bool isDue) { gossipRound(isDue); });
     if (m_poller) {
-        m_pollerTask = std::make_unique<PeriodicTask>(m_settings.configPollInterval / 4, [this](bool) { m_poller->poll(); });
+        m_pollerTask = std::make_unique<PeriodicTask>(m_settings.configPollInterval / 4, [this](bool) { storeRound(); });
     }
     m_maintenanceTask = std::make_unique<PeriodicTask>(MaintenanceInterval, [this](bool) { maintain(); });
 }
@@ -395,6 +408,40 @@
     }
 }
 
+void Daemon::storeRound()
+{
+    m_poller->poll();
+    if (m_clock.now() >= m_storeTasksAt && m_gossip->isRepresentative()) {
+        m_storeTasksAt = m_clock.now() + StoreTasksInterval;
+        m_storeTasks->tick();
+    }
+}
+
+std::vector<std::string> Daemon::seedsFromStore()
+{
+    std::vector<std::string> addresses;
+    if (!m_store) {
+        return addresses;
+    }
+    if (const auto seeds = readSeeds(*m_store)) {
+        for (const auto &[region, peers] : *seeds) {
+            addresses.insert(addresses.end(), peers.begin(), peers.end());
+        }
+    }
+    return addresses;
+}
+
+std::vector<std::string> Daemon::peersOfRegion() const
+{
+    std::vector<std::string> addresses;
+    for (const MemberPointer &member : *m_view.members()) {
+        if (member->region == m_settings.region && member->state == MemberState::Up) {
+            addresses.push_back(member->peerAddress);
+        }
+    }
+    return addresses;
+}
+
 void Daemon::maintain()
 {
     m_admission->expire();
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -19,6 +19,7 @@
 #include "process/metrics.h"
 #include "process/periodictask.h"
 #include "process/settings.h"
+#include "process/storetasks.h"
 #include "process/workerpool.h"
 #include "request/decisionlog.h"
 
@@ -78,6 +79,9 @@
     void updateTargets(const std::string &service);
     void onConfig(const ConfigTable::Config &config);
     void gossipRound(bool isDue);
+    void storeRound();
+    std::vector<std::string> seedsFromStore();
+    std::vector<std::string> peersOfRegion() const;
     void maintain();
     void checkAnnouncements();
     void logTargetChanges();
@@ -106,6 +110,7 @@
     std::unique_ptr<AdmissionService> m_admission;
     std::unique_ptr<EntryService> m_entry;
     std::unique_ptr<ConfigPoller<StoreClient, SteadyClock>> m_poller;
+    std::unique_ptr<StoreTasks> m_storeTasks;
     std::unique_ptr<PeerServer> m_peerServer;
     std::unique_ptr<OperatorServer> m_operatorServer;
     std::unique_ptr<CallerServer> m_callerServer;
@@ -119,6 +124,7 @@
     std::atomic<TimePoint> m_announcedAt { TimePoint {} };
     std::atomic<bool> m_isLeaving { false };
     uint32_t m_maintenanceRuns = 0;
+    TimePoint m_storeTasksAt {}; /**< Used by the poller's thread only. */
 };
 
 } // namespace carobjunction
--- a/src/process/entryservice.cpp
+++ b/src/process/entryservice.cpp
@@ -1,6 +1,6 @@
 #include "process/entryservice.h"
 
-#include <carobjunction/process/fingerprint.h>
+#include <carobjunction/request/fingerprint.h>
 
 #include "connection/peerchannels.h"
 #include "connection/protocolconversion.h"
--- /dev/null
+++ b/src/process/storetasks.cpp
@@ -0,0 +1,38 @@
+#include "process/storetasks.h"
+
+namespace carobjunction
+{
+
+namespace
+{
+
+LeaseOptions leaseOptions(const std::string &name, const std::string &holder)
+{
+    LeaseOptions options;
+    options.name = name;
+    options.holder = holder;
+    return options;
+}
+
+} // namespace
+
+StoreTasks::StoreTasks(StoreClient &store,
+                       const SteadyClock &clock,
+                       const SystemWallClock &wallClock,
+                       const std::string &region,
+                       const std::string &holder,
+                       StoreTaskSources sources)
+    : m_registrarLease(store, clock, wallClock, leaseOptions("registrar-" + region, holder))
+    , m_sweeperLease(store, clock, wallClock, leaseOptions("claim-sweeper", holder))
+    , m_registrar(m_registrarLease, clock, region, std::move(sources.peers))
+    , m_sweeper(store, m_sweeperLease, clock, wallClock, std::move(sources.services), SweeperOptions {})
+{
+}
+
+void StoreTasks::tick()
+{
+    m_registrar.tick();
+    m_sweeper.tick();
+}
+
+} // namespace carobjunction
--- a/src/process/suspectwire.cpp
+++ b/src/process/suspectwire.cpp
@@ -42,7 +42,7 @@
 
 bool mergeSuspectFromWire(SuspectTable<SteadyClock> &table, const v1::SuspectEntry &message)
 {
-    const auto expiry = static_cast<uint64_t>(milliseconds(SuspectTable<SteadyClock>::Lifetime));
+    const auto expiry = static_cast<uint64_t>(milliseconds(SuspectTable<SteadyClock>::Expiry));
     if (message.fingerprint() == 0 || message.state() > static_cast<uint32_t>(SuspectState::Condemned) || message.service().size() > MaxServiceLength) {
         return false;
     }
@@ -61,11 +61,11 @@
     nlohmann::json suspects = nlohmann::json::array();
     for (const SuspectEntry &entry : table.entries()) {
         if (entry.state != SuspectState::Clear) {
-            suspects.push_back({{"fingerprint", toHex(entry.fingerprint)},
-                                {"service", entry.service},
-                                {"state", nameOf(entry.state)},
-                                {"crashes", entry.crashes},
-                                {"expires_in_ms", milliseconds(entry.expiresIn)}});
+            suspects.push_back({ { "fingerprint", toHex(entry.fingerprint) },
+                                 { "service", entry.service },
+                                 { "state", nameOf(entry.state) },
+                                 { "crashes", entry.crashes },
+                                 { "expires_in_ms", milliseconds(entry.expiresIn) } });
         }
     }
     return suspects;
--- a/src/version/configtable.cpp
+++ b/src/version/configtable.cpp
@@ -144,6 +144,17 @@
     return changedSince(0).entries;
 }
 
+std::vector<std::string> ConfigTable::services() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> names;
+    names.reserve(m_records.size());
+    for (const auto &[service, record] : m_records) {
+        names.push_back(service);
+    }
+    return names;
+}
+
 std::vector<ConfigTable::Config> ConfigTable::configs() const
 {
     const std::lock_guard lock(m_mutex);
