Ask again for a claim whose result is about to be recorded

Cause: a resend that arrived within about 10 ms of the first answer, before the owner daemon had recorded the result, was told "unknown"; so was one that arrived while the first request still ran. Change: the entry daemon repeats an unresolved claim after 25, 100 and 400 ms, within the deadline.

--- a/src/process/entryservice.cpp
+++ b/src/process/entryservice.cpp
@@ -9,6 +9,7 @@
 #include "process/metrics.h"
 #include "request/entrysession.h"
 
+#include <array>
 #include <thread>
 
 namespace carobjunction
@@ -19,6 +20,8 @@
 
 constexpr uint32_t MaxHops = 12;
 constexpr std::chrono::milliseconds NearNetworkTime(1);
+constexpr std::array<std::chrono::milliseconds, 3> UnresolvedClaimPauses
+    = { std::chrono::milliseconds(25), std::chrono::milliseconds(100), std::chrono::milliseconds(400) };
 
 CallResult notRun(Reason reason)
 {
@@ -131,11 +134,7 @@
 CallResult EntryService::routeClaimed(const std::shared_ptr<const ServiceConfig> &config, const RouteRule &rule, CallRequest request)
 {
     const TimePoint startedAt = Clock.now();
-    ClaimAnswer answer;
-    answer.state = ClaimState::Unavailable;
-    if (m_parts.claims) {
-        answer = m_parts.claims->claim(request.service, request.key, request.fingerprint, config->keyWindow, request.deadline);
-    }
+    const ClaimAnswer answer = claim(*config, request);
     if (answer.state != ClaimState::Won) {
         CallResult result = resultOfClaim(answer);
         record(request, result, {}, Clock.now() - startedAt);
@@ -149,6 +148,24 @@
     return result;
 }
 
+// A resend often arrives while the first request still runs, or before its result is recorded, so it asks a few times.
+ClaimAnswer EntryService::claim(const ServiceConfig &config, const CallRequest &request)
+{
+    ClaimAnswer answer;
+    if (!m_parts.claims) {
+        return answer;
+    }
+    answer = m_parts.claims->claim(request.service, request.key, request.fingerprint, config.keyWindow, request.deadline);
+    for (const std::chrono::milliseconds pause : UnresolvedClaimPauses) {
+        if (answer.state != ClaimState::Unresolved || request.deadline.remaining(Clock.now()) <= pause) {
+            return answer;
+        }
+        std::this_thread::sleep_for(pause);
+        answer = m_parts.claims->claim(request.service, request.key, request.fingerprint, config.keyWindow, request.deadline);
+    }
+    return answer;
+}
+
 CallResult EntryService::runSession(const std::shared_ptr<const ServiceConfig> &config, const RouteRule &rule, const CallRequest &request)
 {
     const TimePoint startedAt = Clock.now();
--- a/src/process/entryservice.h
+++ b/src/process/entryservice.h
@@ -71,6 +71,7 @@
     CallResult callUnder(const std::shared_ptr<const ServiceConfig> &config, CallRequest request, std::optional<Duration> callerDeadline);
     CallResult route(const std::shared_ptr<const ServiceConfig> &config, const RouteRule &rule, CallRequest request);
     CallResult routeClaimed(const std::shared_ptr<const ServiceConfig> &config, const RouteRule &rule, CallRequest request);
+    ClaimAnswer claim(const ServiceConfig &config, const CallRequest &request);
     CallResult runSession(const std::shared_ptr<const ServiceConfig> &config, const RouteRule &rule, const CallRequest &request);
     AttemptRules rulesFor(const ServiceConfig &config, const RouteRule &rule, const CallRequest &request);
     Duration networkTime(const TargetInfo &target, const ServiceConfig &config) const;
