--- a/bench/cluster.cpp
+++ b/bench/cluster.cpp
@@ -106,7 +106,7 @@
             return fail("bare path " + std::to_string(i) + " doesn't start");
         }
     }
-    if (!m_options.daemons) {
+    if (!m_options.daemons || !m_options.publish) {
         return true;
     }
     for (const ServiceSpec &service : m_spec.services) {
@@ -161,7 +161,7 @@
 {
     Node &node = m_nodes[target];
     const std::string settings = file(node.daemonId + ".yaml");
-    std::ofstream(settings) << settingsOf(node);
+    std::ofstream(settings) << settingsOf(target);
     node.daemon = ChildProcess::start({ program("daemon/carobjunctiond"), "--settings", settings }, file(node.daemonId + ".log"));
     return node.daemon != nullptr;
 }
@@ -367,8 +367,9 @@
     return m_options.directory + "/" + name;
 }
 
-std::string Cluster::settingsOf(const Node &node) const
+std::string Cluster::settingsOf(std::size_t target) const
 {
+    const Node &node = m_nodes[target];
     YAML::Node settings = m_spec.daemonSettings.empty() ? YAML::Node(YAML::NodeType::Map) : YAML::Load(m_spec.daemonSettings);
     settings["daemon"] = node.daemonId;
     settings["region"] = node.region;
@@ -386,7 +387,8 @@
             settings["seeds"].push_back(m_nodes[i].peerAddress);
         }
     }
-    return YAML::Dump(settings) + "\n";
+    const auto changes = m_options.settings.find(target);
+    return changes == m_options.settings.end() ? YAML::Dump(settings) + "\n" : ExperimentParser::merge(YAML::Dump(settings), changes->second) + "\n";
 }
 
 } // namespace carobjunction::bench
--- a/bench/cluster.h
+++ b/bench/cluster.h
@@ -27,6 +27,8 @@
     std::set<std::size_t> absent; /**< Targets whose backend servers aren't started at first. */
     bool daemons = true; /**< False when all calls go past the daemons. */
     bool bare = false; /**< Start a bare path in front of each backend server. */
+    bool publish = true; /**< False: configurations are published by the user of the cluster, and the start doesn't wait for calls to succeed. */
+    std::map<std::size_t, std::string> settings; /**< Changes to the settings of single daemons as YAML. */
 };
 
 /** Processor time and memory of one process. */
@@ -83,6 +85,39 @@
     /** Asks the daemon to stop and waits for its end. @return whether it ended by itself with status 0 */
     bool stopDaemon(std::size_t target, std::chrono::milliseconds limit);
 
+    /** @return process of the daemon; null if it isn't started or was killed */
+    ChildProcess *daemon(std::size_t target) const
+    {
+        return m_nodes[target].daemon.get();
+    }
+
+    /** @return process of the backend server; null if it isn't started or was killed */
+    ChildProcess *backend(std::size_t target) const
+    {
+        return m_nodes[target].backend.get();
+    }
+
+    const std::string &daemonId(std::size_t target) const
+    {
+        return m_nodes[target].daemonId;
+    }
+
+    const std::string &operatorAddress(std::size_t target) const
+    {
+        return m_nodes[target].operatorAddress;
+    }
+
+    const std::string &storeAddress() const
+    {
+        return m_storeAddress;
+    }
+
+    /** Changes the settings that a daemon gets at its next start. @param settings  YAML mapping */
+    void setDaemonSettings(std::size_t target, const std::string &settings)
+    {
+        m_options.settings[target] = settings;
+    }
+
     /** @return whether the daemon's operator port answers */
     bool isDaemonUp(std::size_t target) const;
 
@@ -128,10 +163,10 @@
     std::string address();
     std::string program(const std::string &relative) const;
     std::string file(const std::string &name) const;
-    std::string settingsOf(const Node &node) const;
+    std::string settingsOf(std::size_t target) const;
 
     const ClusterSpec m_spec;
-    const ClusterOptions m_options;
+    ClusterOptions m_options;
     FreePorts m_ports;
     std::string m_storeAddress;
     std::unique_ptr<ChildProcess> m_store;
