Let orders run to their end when their entry daemon is lost

Cause: When the entry daemon died, gRPC cancelled its call at the owner, and the owner passed the cancel on to the backend server. A keyed order was broken off in its run, and the backend server's answer to the cancel (500) was recorded as its result: the caller was told that the order ran. Change: A running request that is not idempotent is not cancelled. Only idempotent requests have attempts that lose, so no planned cancel is lost. Measured: scenario daemon-killed-during-order before: 'expected status 200, got 500 (outcome ran, reason already-ran)'; after: passed in 1.3 s.

--- a/src/process/admissionservice.cpp
+++ b/src/process/admissionservice.cpp
@@ -231,6 +231,11 @@
         return;
     }
     if (session->m_isRunning) {
+        // Only idempotent requests have attempts that lose. A cancel of any other request comes from a lost entry daemon, and the caller's resend
+        // must find the result of a whole run.
+        if (!session->m_request.idempotent) {
+            return;
+        }
         EventLog::write(LogLevel::Info, Event::CancelSent, { { "request", session->m_request.requestId } });
         m_workers.run([this, session] { m_backend.cancel(session->m_request.requestId); });
         return;
