Notice a crash whose listening socket outlives its connections

Cause: After a lost answer the owner tried a connection to tell a crash from a dropped connection. A process that ends closes its connections before its listening socket, so the try could still be accepted and then be closed without an answer, which counted as alive. The crash was not recorded; the later refused connection marked the target as down but did not report the crash either. The request that had crashed it was no suspect, and its caller's resend could run beside others at the next target. Change: A connection that is closed without an answer is tried again, up to three times 10 ms apart. A refused connection reports the crash of the process as well. Conclusion: A request that crashes backend servers is a suspect before its caller has the answer.

--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <thread>
 
 namespace carobjunction
 {
@@ -17,6 +18,9 @@
 constexpr std::chrono::milliseconds CancelTimeout(200);
 constexpr std::chrono::milliseconds TimeoutRounding(3);
 constexpr size_t MaxIdleConnections = 64;
+// A process that ends closes its connections before its listening socket, all within a few milliseconds.
+constexpr int ConnectChecks = 3;
+constexpr std::chrono::milliseconds ConnectCheckPause(10);
 
 httplib::Request toHttp(const CallRequest &request, Duration remaining)
 {
@@ -155,11 +159,23 @@
     if (port == 0) {
         return false;
     }
-    // A fresh connection, because an idle one tells nothing of the process behind the address.
-    httplib::Client client(host, port);
-    client.set_connection_timeout(ConnectTimeout);
-    client.set_read_timeout(CancelTimeout);
-    return client.Get("/_carob/health").error() != httplib::Error::Connection;
+    for (int check = 0; check < ConnectChecks; ++check) {
+        // A fresh connection, because an idle one tells nothing of the process behind the address.
+        httplib::Client client(host, port);
+        client.set_connection_timeout(ConnectTimeout);
+        client.set_read_timeout(CancelTimeout);
+        const TimePoint startedAt = SteadyClock().now();
+        const auto result = client.Get("/_carob/health");
+        if (result.error() == httplib::Error::Connection) {
+            return false;
+        }
+        // No answer in time means a busy process; a connection that was closed without an answer may be one that is about to end.
+        if (result || SteadyClock().now() - startedAt >= CancelTimeout) {
+            return true;
+        }
+        std::this_thread::sleep_for(ConnectCheckPause);
+    }
+    return true;
 }
 
 std::unique_ptr<httplib::Client> BackendClient::take(uint64_t &generation)
--- a/src/process/admissionservice.cpp
+++ b/src/process/admissionservice.cpp
@@ -117,6 +117,7 @@
         checkForCrash();
     }
     if (result.outcome == Outcome::NotRun && result.reason == Reason::TargetDown) {
+        reportCrash(m_controller.incarnation());
         targetDown("connection-refused");
     }
     if (result.outcome == Outcome::Ran) {
