--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -87,6 +87,9 @@
         operators.push_back(m_cluster->operatorAddress(i));
     }
     m_versions = std::make_unique<VersionMonitor>(operators);
+    for (std::size_t i = 0; i < m_cluster->size(); ++i) {
+        waitFor([this, i] { return m_cluster->isDaemonUp(i); }, WaitLimit, "the operator port of daemon " + std::to_string(i));
+    }
     if (!m_plan.publish) {
         return;
     }
