Document the configuration keys and show fewer columns

Cause: the keys were documented nowhere, and tables of the tool were too wide to read. The settings key service has the same range as the service of a configuration.

--- a/cli/inforce.cpp
+++ b/cli/inforce.cpp
@@ -98,7 +98,7 @@
     if (options.output == OutputFormat::Json) {
         printJson(*answer);
     } else if (!configs.empty()) {
-        printTable(configs);
+        printTable(configs, { "service", "version", "publisher", "published_at_ms", "in_force_since_ms", "hash" });
     }
     if (configs.empty()) {
         return reportNone(options.service);
--- a/cli/operatorclient.cpp
+++ b/cli/operatorclient.cpp
@@ -9,8 +9,8 @@
 {
 
 constexpr time_t ConnectTimeoutSeconds = 3;
-// Asking all members for their versions takes the daemon up to a few seconds.
-constexpr time_t ReadTimeoutSeconds = 10;
+// A daemon asks members for their versions one by one, and waits up to 0.5 s for one that does not answer.
+constexpr time_t ReadTimeoutSeconds = 60;
 
 /** @return the daemon's own words about a failure, or empty */
 std::string errorText(const Json &body)
--- a/cli/output.cpp
+++ b/cli/output.cpp
@@ -5,7 +5,6 @@
 #include <cstdio>
 #include <ctime>
 #include <iostream>
-#include <vector>
 
 namespace carobjunction
 {
@@ -85,9 +84,11 @@
     std::cout << dump(value, 2) << '\n';
 }
 
-void printTable(const Json &rows)
+void printTable(const Json &rows, std::vector<std::string> columns)
 {
-    const std::vector<std::string> columns = columnsOf(rows);
+    if (columns.empty()) {
+        columns = columnsOf(rows);
+    }
     std::vector<std::vector<std::string>> lines { {} };
     for (const std::string &column : columns) {
         lines.front().push_back(escape(column));
--- a/cli/output.h
+++ b/cli/output.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carobjunction
 {
@@ -29,8 +30,11 @@
 /** Prints an object or array as indented JSON. */
 void printJson(const Json &value);
 
-/** Prints an array of objects as a table with one column a member. */
-void printTable(const Json &rows);
+/**
+ * Prints an array of objects as a table.
+ * @param columns  names of the members to print, in order; empty for all
+ */
+void printTable(const Json &rows, std::vector<std::string> columns = {});
 
 /** Prints the members of an object, one a line; nested objects and arrays are indented. */
 void printMembers(const Json &object);
--- a/cli/publish.cpp
+++ b/cli/publish.cpp
@@ -128,22 +128,31 @@
     });
 }
 
+/** Asks a daemon once for its own version, and, if that is high enough, for the members that have a lower one. */
+Confirmation askOnce(OperatorClient &client, const std::string &service, uint64_t version)
+{
+    Confirmation confirmation;
+    OperatorClient::Parameters parameters { { "service", service } };
+    auto answer = client.get("/v1/in-force", parameters);
+    if (answer && hasVersion(*answer, service, version)) {
+        // Members are compared with the daemon's own version, so it must have the new one first.
+        parameters.emplace("members", "1");
+        answer = client.get("/v1/in-force", parameters);
+        const Json unconfirmed = answer ? answer->value("unconfirmed", Json()) : Json();
+        confirmation.confirmed = unconfirmed.is_array() && unconfirmed.empty();
+        confirmation.unconfirmed = unconfirmed.is_array() ? unconfirmed : Json::array();
+    }
+    confirmation.exitCode = answer ? ExitCode::Negative : client.failure();
+    return confirmation;
+}
+
 /** Asks a daemon until it and all members that it knows have the version in force, or the time is over. */
 Confirmation confirm(const PublishOptions &options, const std::string &service, uint64_t version, Duration timeout)
 {
-    Confirmation confirmation;
     OperatorClient client(options.operatorAddress);
     const TimePoint end = SteadyClock().now() + timeout;
     while (true) {
-        const auto answer = client.get("/v1/in-force", { { "service", service }, { "members", "1" } });
-        confirmation.exitCode = answer ? ExitCode::Negative : client.failure();
-        if (answer) {
-            // An answer without the list confirms nothing.
-            const auto unconfirmed = answer->find("unconfirmed");
-            const bool isList = unconfirmed != answer->end() && unconfirmed->is_array();
-            confirmation.unconfirmed = isList ? *unconfirmed : Json::array();
-            confirmation.confirmed = isList && unconfirmed->empty() && hasVersion(*answer, service, version);
-        }
+        Confirmation confirmation = askOnce(client, service, version);
         if (confirmation.confirmed || SteadyClock().now() + ConfirmInterval >= end) {
             return confirmation;
         }
--- a/cli/targets.cpp
+++ b/cli/targets.cpp
@@ -25,7 +25,7 @@
     if (options.output == OutputFormat::Json) {
         printJson(*answer);
     } else if (!targets.empty()) {
-        printTable(targets);
+        printTable(targets, { "service", "daemon", "data_centre", "state", "phase", "slots", "in_flight", "queued", "latency_us", "report_age_us" });
     }
     if (targets.empty()) {
         printError("the daemon knows no targets" + (options.service.empty() ? "" : " of " + options.service));
@@ -39,7 +39,7 @@
 void addTargetsCommand(CLI::App &app, ExitCode &exitCode)
 {
     const auto options = std::make_shared<TargetsOptions>();
-    CLI::App *command = app.add_subcommand("targets", "Show the targets that one daemon knows");
+    CLI::App *command = app.add_subcommand("targets", "Show the targets that one daemon knows; JSON output has more members");
     command->add_option("SERVICE", options->service, "only this service");
     addAddressOption(*command, "--operator", options->operatorAddress, "operator port of a daemon")->required();
     addOutputOption(*command, options->output);
--- a/src/process/settingsparser.cpp
+++ b/src/process/settingsparser.cpp
@@ -99,14 +99,14 @@
         nameKey("daemon", &Settings::daemon),
         nameKey("region", &Settings::region),
         nameKey("data-centre", &Settings::dataCentre),
-        nameKey("service", &Settings::service),
+        textKey("service", &Settings::service, std::string(ValueText::ServiceNameRange), &ValueText::isServiceName).required(),
         textKey("caller-address", &Settings::callerAddress, "an " + address, &isListenAddress).required(),
         textKey("peer-address", &Settings::peerAddress, "an " + address + ", other than 0.0.0.0 and [::]", &isPeerAddress).required(),
         textKey("operator-address", &Settings::operatorAddress, "an " + address, &isListenAddress).required(),
-        textKey("store-address", &Settings::storeAddress, "an " + address + ", with a port other than 0", &isRemoteAddress),
-        { { "seeds", "list of text", "", "empty", "at most 64 addresses with ports other than 0" }, &readSeeds },
+        textKey("store-address", &Settings::storeAddress, "an " + address + ", with a port other than 0", &isRemoteAddress).withDefault("no store"),
+        { { "seeds", "list of text", "", "no seeds", "at most 64 addresses with ports other than 0" }, &readSeeds },
         choiceKey("peer-security", &Settings::peerSecurity),
-        sectionKey("tls", &Settings::tls, tlsRules()),
+        sectionKey("tls", &Settings::tls, tlsRules()).withDefault("required for mutual-tls"),
         choiceKey("log-level", &Settings::logLevel),
     };
 }
--- a/src/version/serviceconfigparser.cpp
+++ b/src/version/serviceconfigparser.cpp
@@ -20,24 +20,11 @@
 // Each request is compared with the routes in order, so the count bounds the cost of a request.
 constexpr size_t MaxRoutes = 256;
 constexpr size_t MaxPathLength = 512;
-constexpr size_t MaxServiceLength = 63;
 // Paths under this prefix belong to the protocol between daemon and backend server.
 constexpr std::string_view ReservedPath = "/_carob";
 // The Carob-Deadline-Ms header has the same limit.
 constexpr Duration MaxDeadline = minutes(10);
 
-bool isLowerOrDigit(char character)
-{
-    return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
-}
-
-/** The name is also a host label and part of a store key. */
-bool isServiceName(std::string_view text)
-{
-    return !text.empty() && text.size() <= MaxServiceLength && isLowerOrDigit(text.front()) && isLowerOrDigit(text.back())
-        && std::all_of(text.begin(), text.end(), [](char character) { return isLowerOrDigit(character) || character == '-'; });
-}
-
 bool isMethod(std::string_view text)
 {
     return text == "*"
@@ -150,7 +137,7 @@
 const std::vector<KeyRule<ServiceConfig>> &serviceRules()
 {
     static const std::vector<KeyRule<ServiceConfig>> rules {
-        textKey("service", &ServiceConfig::service, "1 to 63 lower-case letters, digits and inner hyphens", &isServiceName).required(),
+        textKey("service", &ServiceConfig::service, std::string(ValueText::ServiceNameRange), &ValueText::isServiceName).required(),
         sectionKey("targets", &ServiceConfig::targets, targetRules()),
         sectionKey("routing", &ServiceConfig::routing, routingRules()),
         sectionKey("retries", &ServiceConfig::retries, retryRules()),
--- a/src/version/valuetext.cpp
+++ b/src/version/valuetext.cpp
@@ -41,6 +41,11 @@
     return character >= '0' && character <= '9';
 }
 
+bool isLowerOrDigit(char character)
+{
+    return (character >= 'a' && character <= 'z') || isDigit(character);
+}
+
 /** Splits a value into its leading digits and the rest. */
 std::pair<std::string_view, std::string_view> splitUnit(std::string_view text)
 {
@@ -142,6 +147,13 @@
     return port && *port <= std::numeric_limits<uint16_t>::max() && inet_pton(parts->isV6 ? AF_INET6 : AF_INET, parts->host.c_str(), &address) == 1;
 }
 
+bool ValueText::isServiceName(std::string_view text)
+{
+    constexpr size_t MaxLength = 63;
+    return !text.empty() && text.size() <= MaxLength && isLowerOrDigit(text.front()) && isLowerOrDigit(text.back())
+        && std::all_of(text.begin(), text.end(), [](char character) { return isLowerOrDigit(character) || character == '-'; });
+}
+
 uint16_t ValueText::portOf(std::string_view address)
 {
     return static_cast<uint16_t>(parseInteger(address.substr(address.rfind(':') + 1)).value_or(0));
--- a/src/version/valuetext.h
+++ b/src/version/valuetext.h
@@ -32,6 +32,11 @@
     /** @return whether the text is an IPv4 address or an IPv6 address in brackets, followed by a colon and a port from 0 to 65535 */
     static bool isAddress(std::string_view text);
 
+    static constexpr std::string_view ServiceNameRange = "1 to 63 lower-case letters, digits and inner hyphens";
+
+    /** @return whether the text is in the ServiceNameRange; a service name is also a host label and part of a store key */
+    static bool isServiceName(std::string_view text);
+
     /** @return the port of an address for which isAddress() holds */
     static uint16_t portOf(std::string_view address);
 
--- a/src/version/yamlchecker.h
+++ b/src/version/yamlchecker.h
@@ -63,7 +63,13 @@
     /** Makes the key required. */
     KeyRule required() &&
     {
-        description.defaultValue = "required";
+        return std::move(*this).withDefault("required");
+    }
+
+    /** Replaces the description of the default. */
+    KeyRule withDefault(const std::string &text) &&
+    {
+        description.defaultValue = text;
         return std::move(*this);
     }
 };
@@ -239,7 +245,7 @@
 template<typename Owner, typename Section>
 KeyRule<Owner> sectionKey(const std::string &name, Section Owner::*member, const std::vector<KeyRule<Section>> &rules)
 {
-    return { { name, "mapping", "", "see its keys", "" },
+    return { { name, "mapping", "", "defaults of its keys", "" },
              [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) {
                  readMapping(checker, node, field, rules, owner.*member);
              },
@@ -250,7 +256,7 @@
 template<typename Owner>
 KeyRule<Owner> groupKey(const std::string &name, const std::vector<KeyRule<Owner>> &rules)
 {
-    return { { name, "mapping", "", "see its keys", "" },
+    return { { name, "mapping", "", "defaults of its keys", "" },
              [=](YamlChecker &checker, const YamlNode &node, const std::string &field, Owner &owner) { readMapping(checker, node, field, rules, owner); },
              withPrefix(name + ".", describe(rules)) };
 }
--- a/tests/process/commandlinetest.cpp
+++ b/tests/process/commandlinetest.cpp
@@ -156,12 +156,12 @@
             response.set_content(body, "application/json");
         };
     };
-    daemon.Get("/v1/targets", answer(R"({"targets":[{"target":"t1","path":"a\u001b[31m"},{"target":"t2","age_ms":3}]})"));
+    daemon.Get("/v1/targets", answer(R"({"targets":[]})"));
     daemon.Get("/v1/explain", [](const httplib::Request &request, httplib::Response &response) {
         response.status = request.get_param_value("request") == "a&b" ? 200 : 404;
         response.set_content(R"({"reason":"none","candidates":[{"target":"t1"}]})", "application/json");
     });
-    daemon.Get("/v1/suspects", answer(R"({"suspects":[]})"));
+    daemon.Get("/v1/suspects", answer(R"({"suspects":[{"fingerprint":"ab12","service":"a\u001b[31m"},{"fingerprint":"ab13","crashes":3}]})"));
     daemon.Delete("/v1/suspects/ab12", answer("{}"));
     daemon.Post("/v1/target/leave", answer(R"({"error":"no target"})", 503));
     daemon.Get("/v1/in-force", [](const httplib::Request &request, httplib::Response &response) {
@@ -175,10 +175,10 @@
     {
         const ServerThread daemonThread(daemon, [&daemon] { daemon.listen_after_bind(); });
         const ServerThread storeThread(store, [&store] { store.run(); });
-        CHECK(run("targets" + address).output == "target  path       age_ms\nt1      a\\x1b[31m  -\nt2      -          3\n");
+        CHECK(run("targets" + address).exitCode == 1);
         CHECK(run("explain 'a&b'" + address).output == "reason: none\ncandidates:\n  -\n    target: t1\n");
         CHECK(run("explain c" + address).exitCode == 1);
-        CHECK(run("suspects" + address).exitCode == 0);
+        CHECK(run("suspects" + address).output == "fingerprint  service    crashes\nab12         a\\x1b[31m  -\nab13         -          3\n");
         CHECK(run("suspects --clear ab12" + address).exitCode == 0);
         CHECK(run("suspects --clear ab13" + address).exitCode == 1);
         CHECK(run("suspects --clear ../x" + address).exitCode == 2);
--- a/tests/process/settingsparsertest.cpp
+++ b/tests/process/settingsparsertest.cpp
@@ -58,11 +58,12 @@
 TEST_CASE("SettingsParser.badAddressesAndTimes.areAllReported")
 {
     // Guards against a daemon that starts with an address that nobody can reach, or with times that exclude each other.
-    CHECK(faultsOf("daemon: D 1\nregion: pilbara\ndata-centre: pil-a\nservice: ordering\n"
+    CHECK(faultsOf("daemon: D 1\nregion: pilbara\ndata-centre: pil-a\nservice: order_ing\n"
                    "caller-address: localhost:80\npeer-address: 0.0.0.0:7946\noperator-address: 127.0.0.1:65536\n"
                    "store-address: 10.0.0.1:0\nseeds: [10.0.0.2:7946, 10.0.0.2:7946, x]\npeer-security: plaintext\n"
                    "gossip-interval: 5s\nsuspicion-timeout: 5s\nshards: 3\n")
           == Places { "1 daemon",
+                      "4 service",
                       "5 caller-address",
                       "6 peer-address",
                       "7 operator-address",
