--- a/tests/version/configurationpagetest.cpp
+++ b/tests/version/configurationpagetest.cpp
@@ -1,3 +1,4 @@
+#include <carobjunction/request/reason.h>
 #include <carobjunction/version/serviceconfigparser.h>
 
 #include "process/settingsparser.h"
@@ -57,3 +58,23 @@
     CHECK(rowsOnPage("Service configuration") == rowsOf(ServiceConfigParser::keys()));
     CHECK(rowsOnPage("Settings") == rowsOf(SettingsParser::keys()));
 }
+
+TEST_CASE("OperatorsPage.reasons.areAllExplained")
+{
+    // Guards against a reason that an operator finds in an answer and not on the page.
+    std::ifstream file(std::string(CAROBJUNCTION_SOURCE_DIR) + "/docs/operators.md");
+    REQUIRE(file.good());
+    std::vector<std::string> documented;
+    const std::regex row(R"(\| `([a-z-]+)` \| [^|]+ \| [^|]+ \| [^|]+ \|)");
+    for (std::string line; std::getline(file, line);) {
+        std::smatch match;
+        if (std::regex_match(line, match, row)) {
+            documented.push_back(match[1]);
+        }
+    }
+    std::vector<std::string> inCode;
+    for (const auto &[reason, name] : EnumNames<Reason>::Table) {
+        inCode.emplace_back(name);
+    }
+    CHECK(documented == inCode);
+}
