Compare ramps with the warmest target

Cause: After the start of an entry daemon all targets are cold, and thinning by absolute weight left a random one or two candidates to the policy. Change: Candidates are thinned by their weight relative to the greatest one. Conclusion: The new test covers the ramp of one cold target among warm ones.

--- a/include/carobjunction/process/targettable.h
+++ b/include/carobjunction/process/targettable.h
@@ -254,20 +254,19 @@
     const Typical typical { typicalLatency(service, now, nullptr), typicalFailureShare(service, now) };
     std::vector<Candidate> candidates;
     std::vector<State *> kept;
-    std::uniform_real_distribution<double> uniform(0, 1);
+    // Where all targets are cold, as after the start of this daemon, none is held back against the others.
+    double fullWeight = 0;
+    for (const State *state : eligible) {
+        fullWeight = std::max(fullWeight, state->health.weight(now, service.coldRamp));
+    }
+    std::uniform_real_distribution<double> uniform(0, fullWeight);
     for (State *state : eligible) {
         const Candidate candidate = candidateOf(*state, now, typical, service.coldRamp);
-        if (candidate.weight >= 1 || uniform(m_rng) < candidate.weight) {
+        if (candidate.weight >= fullWeight || uniform(m_rng) < candidate.weight) {
             candidates.push_back(candidate);
             kept.push_back(state);
         }
     }
-    if (candidates.empty()) {
-        for (State *state : eligible) {
-            candidates.push_back(candidateOf(*state, now, typical, service.coldRamp));
-        }
-        kept = eligible;
-    }
     return std::visit(
         [&](auto &policy) -> std::optional<RouteChoice> {
             const std::optional<size_t> index = policy.choose(candidates, m_rng);
--- a/tests/process/targettabletest.cpp
+++ b/tests/process/targettabletest.cpp
@@ -167,6 +167,19 @@
     CHECK(shot("b").phase == TargetPhase::Ramp);
 }
 
+TEST_CASE_METHOD(TableFixture, "TargetTable.newIncarnation.isRampedByWeight", "[routing]")
+{
+    // Guards against a full share of calls for a backend server with cold caches, and against a share that stays small.
+    config.routing.policy = PolicyKind::Random;
+    setTargets({ targetOf("a"), targetOf("b", 2), targetOf("c"), targetOf("d"), targetOf("e") });
+    const AttemptReport quick = answered(200, 1ms);
+    const int cold = run(200, "b", quick);
+    CHECK(cold > 0);
+    CHECK(cold < 30);
+    clock.advance(config.targets.coldRamp);
+    CHECK(run(200, "b", quick) > 25);
+}
+
 TEST_CASE_METHOD(TableFixture, "TargetTable.callWithoutAnswer.lowersTheScoreAtOnce", "[routing]")
 {
     // Guards against calls sent to a stuck target until the first answer or timeout comes back.
