--- a/src/process/batchdelay.h
+++ b/src/process/batchdelay.h
@@ -30,7 +30,10 @@
 
     void noteAccepted()
     {
-        m_current = std::max<Duration>(m_current - m_current / ShrinkDivisor, m_shortest);
+        m_current -= m_current / ShrinkDivisor;
+        if (m_current < m_shortest + Negligible) {
+            m_current = m_shortest;
+        }
     }
 
     void noteOverload()
@@ -40,6 +43,7 @@
 
 private:
     static constexpr Duration Longest = std::chrono::milliseconds(250);
+    static constexpr Duration Negligible = std::chrono::microseconds(100); // Below the time of one transaction.
     static constexpr int ShrinkDivisor = 16; // Shrinks by half in about 11 accepted batches, so refusals stay rare.
 
     Duration m_shortest;
--- a/tests/process/claimledgertest.cpp
+++ b/tests/process/claimledgertest.cpp
@@ -392,6 +392,7 @@
         delay.noteAccepted();
     }
     CHECK(delay.current() == 2ms);
+    CHECK_FALSE(delay.isLengthened());
 }
 
 TEST_CASE("ClaimLedger.callerLeavesBeforeTheAnswer.claimIsReleased", "[claims]")
--- a/tools/claim-cost/main.cpp
+++ b/tools/claim-cost/main.cpp
@@ -19,6 +19,7 @@
     int claimers = 1;
     int seconds = 5;
     int batchDelayUs = 2000;
+    int pauseMs = 0;
     bool record = true;
 };
 
@@ -52,12 +53,14 @@
         const ClaimAnswer answer = ledger.claim("ordering", key, 1, std::chrono::hours(24), Deadline::after(start, std::chrono::seconds(5)));
         if (answer.state != ClaimState::Won) {
             ++unavailable;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
             continue;
         }
         latencies.push_back(std::chrono::duration<double, std::milli>(clock.now() - start).count());
         if (options.record) {
             ledger.recordDone("ordering", key, answer.claimId, 1, result);
         }
+        std::this_thread::sleep_for(std::chrono::milliseconds(options.pauseMs));
     }
     const std::scoped_lock lock(totals.mutex);
     totals.latenciesMs.insert(totals.latenciesMs.end(), latencies.begin(), latencies.end());
@@ -136,6 +139,7 @@
     app.add_option("--claimers", options.claimers, "concurrent claims, spread over the ledgers")->check(CLI::Range(1, 512));
     app.add_option("--seconds", options.seconds)->check(CLI::Range(1, 600));
     app.add_option("--batch-delay-us", options.batchDelayUs)->check(CLI::Range(0, 1'000'000));
+    app.add_option("--pause-ms", options.pauseMs, "pause of each claimer between two claims")->check(CLI::Range(0, 10'000));
     app.add_option("--record", options.record, "whether results are recorded");
     CLI11_PARSE(app, argc, argv);
     EventLog::initialise(LogLevel::Error);
