--- a/src/request/fingerprint.cpp
+++ b/src/request/fingerprint.cpp
@@ -25,10 +25,10 @@
 {
     const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
-    for (const std::string_view part : {service, method, path, body}) {
+    for (const std::string_view part : { service, method, path, body }) {
         append(context.get(), part);
     }
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
     EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
     uint64_t value = 0;
     for (size_t index = 0; index < sizeof(value); ++index) {
