Test changes made during a heartbeat and a region of one daemon

Cause: trial faults in Gossip::release() and in the rule that each region judges its own daemons went unnoticed by the tests.

Change: one test for each.

Conclusion: both rules have a test of their own.

--- a/tests/process/gossiptest.cpp
+++ b/tests/process/gossiptest.cpp
@@ -316,3 +316,43 @@
         }
     }
 }
+
+TEST_CASE("Gossip.changeDuringAHeartbeat.isPushedAfterwards", "[gossip]")
+{
+    // Guards against a change that waits for a later tick because its push found the link in use.
+    MemoryCluster cluster;
+    cluster.startAll(2, 1);
+    cluster.tick(4);
+    int injected = 0;
+    cluster.network.isCut = [&](const std::string &, const std::string &) {
+        if (injected++ == 0) {
+            cluster.node(0).gossip.updateOwn([](Member &own) { own.state = MemberState::Leaving; });
+            cluster.network.runWakes();
+        }
+        return false;
+    };
+    cluster.network.beginAt({});
+    cluster.node(0).gossip.tick();
+    cluster.network.runWakes();
+    CHECK(injected > 1);
+    CHECK(cluster.node(1).view.find("daemon-0")->state == MemberState::Leaving);
+}
+
+TEST_CASE("Gossip.cutFromARegionOfOneDaemon.doesNotSuspectIt", "[gossip]")
+{
+    // Guards against judging another region's daemon when only the own region is there to agree.
+    MemoryCluster cluster;
+    cluster.startAll(5, 1);
+    Member lone = MemoryCluster::memberOf(5, 1);
+    lone.region = "region-1";
+    cluster.start(lone, { MemoryCluster::memberOf(0, 1).peerAddress });
+    cluster.tick(4);
+    cluster.network.isCut = [&](const std::string &from, const std::string &to) {
+        return (from == lone.peerAddress) != (to == lone.peerAddress);
+    };
+    for (int step = 0; step < 10; ++step) {
+        cluster.node(3).gossip.noteUnreachable("daemon-5");
+        cluster.tick(1);
+    }
+    CHECK(cluster.node(3).view.find("daemon-5")->state == MemberState::Up);
+}
