Run blocking work on plain threads, and ask all members for confirmation side by side

Also: claims waited 2 ms for company that the group commit gathers anyway; slow reads of the sweeper counted on the circuit breaker that claims share; in-force asked members one by one, up to 0.5 s each. Change: WorkerPool is a set of threads on a oneTBB bounded queue; claim-batch-delay defaults to 0; the upkeep of the store has its own client; members are asked side by side; the entry daemon uses the exact load of its own target; one failed call counts once.

--- a/examples/embed-routing/main.cpp
+++ b/examples/embed-routing/main.cpp
@@ -13,7 +13,7 @@
     ServiceConfig config;
     config.service = "ordering";
     std::vector<TargetInfo> targets;
-    for (const char *daemon : {"ordering-1", "ordering-2", "ordering-3"}) {
+    for (const char *daemon : { "ordering-1", "ordering-2", "ordering-3" }) {
         TargetInfo target;
         target.daemon = daemon;
         target.incarnation = 1;
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -129,13 +129,14 @@
         options.address = m_settings.storeAddress;
         options.timeout = m_settings.storeTimeout;
         m_store = StoreClient::create(options);
+        m_upkeepStore = StoreClient::create(options);
     }
     if (m_store) {
         ClaimOptions options;
         options.daemon = m_settings.daemon;
         options.batchDelay = m_settings.claimBatchDelay;
         m_claims = std::make_unique<Claims>(*m_store, m_clock, m_wallClock, options);
-        m_storeTasks = std::make_unique<StoreTasks>(*m_store,
+        m_storeTasks = std::make_unique<StoreTasks>(*m_upkeepStore,
                                                     m_clock,
                                                     m_wallClock,
                                                     m_settings.region,
@@ -145,7 +146,7 @@
                                                                            return m_configs.services();
                                                                        } });
         m_poller = std::make_unique<ConfigPoller<StoreClient, SteadyClock>>(
-            *m_store, m_clock, m_configs, ConfigPollerOptions { m_settings.configPollInterval }, pollerHooks());
+            *m_upkeepStore, m_clock, m_configs, ConfigPollerOptions { m_settings.configPollInterval }, pollerHooks());
     }
     m_view.setChangeHandler([this](const MemberChange &change) {
         logMemberChange(change);
@@ -420,10 +421,10 @@
 std::vector<std::string> Daemon::seedsFromStore()
 {
     std::vector<std::string> addresses;
-    if (!m_store) {
+    if (!m_upkeepStore) {
         return addresses;
     }
-    if (const auto seeds = readSeeds(*m_store)) {
+    if (const auto seeds = readSeeds(*m_upkeepStore)) {
         for (const auto &[region, peers] : *seeds) {
             addresses.insert(addresses.end(), peers.begin(), peers.end());
         }
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -23,6 +23,8 @@
 #include "process/workerpool.h"
 #include "request/decisionlog.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <atomic>
 #include <map>
 #include <memory>
@@ -89,6 +91,7 @@
     void probe(const TargetInfo &target, const ServiceConfig &config);
     ProbeBudget<SteadyClock> &probeBudget(const ServiceConfig &config);
     std::string inForceJson(const std::string &service, bool withMembers);
+    nlohmann::json unconfirmedMembers(const std::string &service, const nlohmann::json &configs);
     std::string targetsJson(const std::string &service);
     std::string suspectsJson();
 
@@ -102,7 +105,8 @@
     TargetTable<SteadyClock> m_targets;
     ConfigTable m_configs;
     View m_view;
-    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<StoreClient> m_store; /**< For claims only, so that slow reads of the upkeep don't hold them up. */
+    std::unique_ptr<StoreClient> m_upkeepStore; /**< For configurations, seeds and expired claims. */
     std::unique_ptr<Claims> m_claims;
     PeerChannels m_channels;
     std::unique_ptr<DaemonGossip> m_gossip;
--- a/src/process/daemonreports.cpp
+++ b/src/process/daemonreports.cpp
@@ -4,6 +4,8 @@
 #include "process/suspectwire.h"
 
 #include <nlohmann/json.hpp>
+#include <tbb/parallel_for_each.h>
+#include <tbb/task_arena.h>
 
 namespace carobjunction
 {
@@ -12,6 +14,7 @@
 {
 
 constexpr std::chrono::milliseconds InForceTimeout(500);
+constexpr uint32_t InForceThreads = 16;
 
 std::string dump(const nlohmann::json &json)
 {
@@ -109,22 +112,36 @@
                             { "in_force_since_ms", sinceWall } });
     }
     if (withMembers) {
-        v1::InForceRequest request;
-        request.set_service(service);
-        for (const MemberPointer &member : *m_view.members()) {
+        unconfirmed = unconfirmedMembers(service, configs);
+    }
+    return dump({ { "daemon", m_settings.daemon }, { "configs", std::move(configs) }, { "unconfirmed", std::move(unconfirmed) } });
+}
+
+nlohmann::json Daemon::unconfirmedMembers(const std::string &service, const nlohmann::json &configs)
+{
+    v1::InForceRequest request;
+    request.set_service(service);
+    const MemberList members = m_view.members();
+    std::mutex mutex;
+    nlohmann::json unconfirmed = nlohmann::json::array();
+    // The answers take up to InForceTimeout each, so all members are asked side by side.
+    tbb::task_arena arena(static_cast<int>(InForceThreads), 0);
+    arena.execute([&] {
+        tbb::parallel_for_each(members->begin(), members->end(), [&](const MemberPointer &member) {
             if (!member->isLive() || member->daemon == m_settings.daemon) {
-                continue;
+                return;
             }
             const auto response = m_channels.inForce(member->peerAddress, request, InForceTimeout);
+            const std::scoped_lock lock(mutex);
             for (const nlohmann::json &config : configs) {
                 const uint64_t version = response ? versionIn(*response, config["service"]) : 0;
                 if (version < config["version"].get<uint64_t>()) {
                     unconfirmed.push_back({ { "daemon", member->daemon }, { "service", config["service"] }, { "version", version } });
                 }
             }
-        }
-    }
-    return dump({ { "daemon", m_settings.daemon }, { "configs", std::move(configs) }, { "unconfirmed", std::move(unconfirmed) } });
+        });
+    });
+    return unconfirmed;
 }
 
 std::string Daemon::targetsJson(const std::string &service)
--- a/src/process/entryservice.cpp
+++ b/src/process/entryservice.cpp
@@ -227,9 +227,13 @@
     return state;
 }
 
-TargetTable<SteadyClock> &EntryService::targets()
+std::optional<RouteChoice> EntryService::choose(const ServiceConfig &config, std::span<const std::string> excluded)
 {
-    return m_parts.targets;
+    if (config.service == m_parts.settings.service) {
+        // The load of the own target is known exactly at no cost.
+        m_parts.targets.observeLoad(config.service, m_parts.settings.daemon, m_parts.admission.load());
+    }
+    return m_parts.targets.choose(config, excluded);
 }
 
 Metrics &EntryService::metrics()
@@ -307,9 +311,6 @@
         m_parts.targets.markLeaving(request.service, target.daemon, target.incarnation);
     }
     if (report.reason == Reason::PeerUnreachable || (report.outcome == Outcome::Unknown && report.reason == Reason::AnswerLost)) {
-        if (report.reason == Reason::PeerUnreachable) {
-            m_parts.targets.noteUnreachable(request.service, target.daemon);
-        }
         m_parts.unreachable(target.daemon);
     }
 }
--- a/src/process/entryservice.h
+++ b/src/process/entryservice.h
@@ -56,7 +56,7 @@
     bool isUsed(const std::string &service);
 
     // Used by EntrySession.
-    TargetTable<SteadyClock> &targets();
+    std::optional<RouteChoice> choose(const ServiceConfig &config, std::span<const std::string> excluded);
     Metrics &metrics();
     bool takeRetryToken(const ServiceConfig &config);
     void countAttempt(AttemptKind kind);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -55,7 +55,7 @@
     Duration suspicionTimeout = std::chrono::seconds(4);
     Duration memberForgetTime = std::chrono::minutes(10); /**< Failed and left members are forgotten after this time. */
     Duration configPollInterval = std::chrono::seconds(1);
-    Duration claimBatchDelay = std::chrono::milliseconds(2); /**< Longest time that a claim waits for others to share its transaction. */
+    Duration claimBatchDelay = Duration::zero(); /**< Longest time that a claim waits for others to share its transaction. */
     Duration regionDelay = Duration::zero(); /**< Delay added to calls to other regions; for experiments on one machine. */
 };
 
--- a/src/process/workerpool.cpp
+++ b/src/process/workerpool.cpp
@@ -1,38 +1,47 @@
 #include "process/workerpool.h"
 
-#include <tbb/global_control.h>
-#include <tbb/task_arena.h>
-#include <tbb/task_group.h>
-
-#include <thread>
-
 namespace carobjunction
 {
 
-struct WorkerPool::Arena {
-    explicit Arena(uint32_t threads)
-        // The work blocks on sockets, so it needs more threads than there are cores.
-        : parallelism(tbb::global_control::max_allowed_parallelism, threads + 1), arena(static_cast<int>(threads), 0)
-    {
-    }
-
-    tbb::global_control parallelism;
-    tbb::task_arena arena;
-    tbb::task_group group;
-};
-
-WorkerPool::WorkerPool(uint32_t threads) : m_arena(std::make_unique<Arena>(threads))
+WorkerPool::WorkerPool(uint32_t threads)
 {
+    m_threads.reserve(threads);
+    for (uint32_t index = 0; index < threads; ++index) {
+        m_threads.emplace_back([this] { loop(); });
+    }
 }
 
 WorkerPool::~WorkerPool()
 {
-    m_arena->arena.execute([this] { m_arena->group.wait(); });
+    // One empty entry ends one thread, after all work before it.
+    for (size_t index = 0; index < m_threads.size(); ++index) {
+        m_queue.push(nullptr);
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    // Work that the last work submitted.
+    std::function<void()> work;
+    while (m_queue.try_pop(work)) {
+        if (work) {
+            work();
+        }
+    }
 }
 
 void WorkerPool::run(std::function<void()> work)
 {
-    m_arena->arena.enqueue(m_arena->group.defer(std::move(work)));
+    m_queue.push(std::move(work));
+}
+
+void WorkerPool::loop()
+{
+    std::function<void()> work;
+    m_queue.pop(work);
+    while (work) {
+        work();
+        m_queue.pop(work);
+    }
 }
 
 } // namespace carobjunction
--- a/src/request/entrysession.cpp
+++ b/src/request/entrysession.cpp
@@ -56,7 +56,7 @@
 
 std::optional<std::string> EntrySession::chooseTarget(std::span<const std::string> excluded)
 {
-    m_choice = m_service.targets().choose(*m_config, excluded);
+    m_choice = m_service.choose(*m_config, excluded);
     if (!m_choice) {
         return std::nullopt;
     }
--- a/tests/process/budgettest.cpp
+++ b/tests/process/budgettest.cpp
@@ -1,4 +1,4 @@
-#include "process/fakeclock.h"
+#include "fakeclock.h"
 
 #include <carobjunction/process/latencyquantile.h>
 #include <carobjunction/process/probebudget.h>
--- a/tests/process/memorycluster.h
+++ b/tests/process/memorycluster.h
@@ -2,29 +2,13 @@
 
 #include "process/gossip.h"
 
+#include "../fakeclock.h"
+
 #include <queue>
 
 namespace carobjunction::testing
 {
 
-/** Clock that moves only when told. */
-class FakeClock
-{
-public:
-    TimePoint now() const
-    {
-        return m_now;
-    }
-
-    void advance(Duration step)
-    {
-        m_now += step;
-    }
-
-private:
-    TimePoint m_now = TimePoint {} + std::chrono::hours(1);
-};
-
 class MemoryNetwork;
 
 /** Transport of one daemon over a MemoryNetwork. */
--- a/tests/process/suspecttabletest.cpp
+++ b/tests/process/suspecttabletest.cpp
@@ -1,4 +1,4 @@
-#include "process/fakeclock.h"
+#include "fakeclock.h"
 
 #include <carobjunction/process/suspecttable.h>
 #include <carobjunction/request/fingerprint.h>
--- a/tests/process/targettabletest.cpp
+++ b/tests/process/targettabletest.cpp
@@ -1,4 +1,4 @@
-#include "process/fakeclock.h"
+#include "fakeclock.h"
 
 #include <carobjunction/process/targettable.h>
 
