--- a/src/connection/callerserver.cpp
+++ b/src/connection/callerserver.cpp
@@ -105,8 +105,8 @@
 void writeError(httplib::Response &response, int status, Outcome outcome, Reason reason, const std::string &detail)
 {
     response.status = status;
-    response.set_header(HeaderName::OutcomeField, std::string(nameOf(outcome)));
-    response.set_header(HeaderName::ReasonField, std::string(nameOf(reason)));
+    response.set_header(headername::OutcomeField, std::string(nameOf(outcome)));
+    response.set_header(headername::ReasonField, std::string(nameOf(reason)));
     if (status == 503) {
         response.set_header("Retry-After", RetryAfterSeconds);
     }
@@ -123,28 +123,28 @@
     response.status = result.status;
     std::string contentType;
     for (auto &[name, value] : result.headers) {
-        if (name == HeaderName::ContentType) {
+        if (name == headername::ContentType) {
             contentType = value;
         } else {
             response.headers.emplace(name, value);
         }
     }
-    response.set_header(HeaderName::OutcomeField, std::string(nameOf(result.outcome)));
-    response.set_header(HeaderName::ReasonField, std::string(nameOf(result.reason)));
+    response.set_header(headername::OutcomeField, std::string(nameOf(result.outcome)));
+    response.set_header(headername::ReasonField, std::string(nameOf(result.reason)));
     // The library applies a Range field to the whole answer by itself.
     if (!request.ranges.empty() && result.status == 200) {
         response.status = 206;
     }
     response.body = std::move(result.body);
     if (!contentType.empty()) {
-        response.set_header(HeaderName::ContentType, contentType);
+        response.set_header(headername::ContentType, contentType);
     }
 }
 
 // Completes an answer that the library gave before the request reached the handler, so nothing ran.
 httplib::Server::HandlerResponse markLibraryError(const httplib::Request &, httplib::Response &response)
 {
-    if (response.has_header(HeaderName::OutcomeField)) {
+    if (response.has_header(headername::OutcomeField)) {
         return httplib::Server::HandlerResponse::Unhandled;
     }
     const Reason reason = response.status == 413 ? Reason::BodyTooLarge : Reason::Malformed;
@@ -171,15 +171,15 @@
     std::optional<uint32_t> deadlineMs;
     std::optional<uint32_t> hops;
     std::optional<uint32_t> retriesLeft;
-    const bool isValid = readNumber(request, HeaderName::DeadlineMs, 1, MaxDeadlineMs, deadlineMs)
-        && readNumber(request, HeaderName::Hops, 0, MaxHopsField, hops) && readNumber(request, HeaderName::RetriesLeft, 0, MaxRetriesLeft, retriesLeft)
-        && readText(request, HeaderName::IdempotencyKey, MaxKeyLength, fields.key) && readText(request, HeaderName::Caller, MaxCallerLength, fields.caller)
-        && readText(request, HeaderName::Service, MaxCallerLength, fields.service);
+    const bool isValid = readNumber(request, headername::DeadlineMs, 1, MaxDeadlineMs, deadlineMs)
+        && readNumber(request, headername::Hops, 0, MaxHopsField, hops) && readNumber(request, headername::RetriesLeft, 0, MaxRetriesLeft, retriesLeft)
+        && readText(request, headername::IdempotencyKey, MaxKeyLength, fields.key) && readText(request, headername::Caller, MaxCallerLength, fields.caller)
+        && readText(request, headername::Service, MaxCallerLength, fields.service);
     if (!isValid) {
         return std::nullopt;
     }
     if (request.is_multipart_form_data()) {
-        return malformed(HeaderName::ContentType, "multipart/form-data is not supported");
+        return malformed(headername::ContentType, "multipart/form-data is not supported");
     }
     if (fields.service.empty()) {
         fields.service = serviceFromHost(request);
@@ -237,7 +237,7 @@
 void CallerServer::handle(const httplib::Request &request, std::string body, httplib::Response &response)
 {
     const std::string requestId = m_requestIdPrefix + std::to_string(++m_lastRequest);
-    response.set_header(HeaderName::RequestId, requestId);
+    response.set_header(headername::RequestId, requestId);
     std::optional<CallerFields> fields = parseCallerFields(request);
     if (!fields) {
         const MalformedField &fault = LastReason<MalformedField>::get();
@@ -258,9 +258,9 @@
     call.retriesLeft = fields->retriesLeft;
     CallResult result = m_entry.call(std::move(call), fields->deadline);
     if (!result.target.empty()) {
-        response.set_header(HeaderName::Target, result.target);
+        response.set_header(headername::Target, result.target);
     }
-    response.set_header(HeaderName::ConfigVersion, std::to_string(result.configVersion));
+    response.set_header(headername::ConfigVersion, std::to_string(result.configVersion));
     if (result.status != 0) {
         writeAnswer(request, result, response);
     } else {
--- a/src/connection/httpheaders.h
+++ b/src/connection/httpheaders.h
@@ -6,7 +6,7 @@
 {
 
 /** Header fields of the protocol with callers and backend servers. */
-namespace HeaderName
+namespace headername
 {
 inline constexpr char Service[] = "Carob-Service";
 inline constexpr char DeadlineMs[] = "Carob-Deadline-Ms";
@@ -20,7 +20,7 @@
 inline constexpr char Target[] = "Carob-Target";
 inline constexpr char ConfigVersion[] = "Carob-Config-Version";
 inline constexpr char ContentType[] = "Content-Type";
-} // namespace HeaderName
+} // namespace headername
 
 /**
  * @param name  header field name
--- a/src/connection/peerchannels.cpp
+++ b/src/connection/peerchannels.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <thread>
 
 namespace carobjunction
 {
@@ -40,9 +41,10 @@
 class DispatchCall : public PeerCall, public std::enable_shared_from_this<DispatchCall>
 {
 public:
-    DispatchCall(v1::DispatchRequest request, PeerChannels::Completion completion, Metrics &metrics)
-        : m_request(std::move(request)), m_completion(std::move(completion)), m_metrics(metrics)
+    DispatchCall(v1::DispatchRequest request, PeerChannels::Completion completion, Metrics &metrics, std::atomic<uint32_t> &inProgress)
+        : m_request(std::move(request)), m_completion(std::move(completion)), m_metrics(metrics), m_inProgress(inProgress)
     {
+        ++m_inProgress;
     }
 
     void start(v1::Peer::Stub &stub, Duration remaining)
@@ -61,6 +63,8 @@
     void finish(const grpc::Status &status)
     {
         m_completion(toResult(status));
+        m_completion = nullptr;
+        --m_inProgress;
     }
 
     CallResult toResult(const grpc::Status &status)
@@ -89,6 +93,7 @@
     v1::DispatchResponse m_response;
     PeerChannels::Completion m_completion;
     Metrics &m_metrics;
+    std::atomic<uint32_t> &m_inProgress;
 };
 
 } // namespace
@@ -117,7 +122,7 @@
     const Duration remaining = deadline.remaining(SteadyClock().now());
     const Duration forPeer = std::max<Duration>(remaining - networkTime, Duration::zero());
     request.set_remaining_us(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(forPeer).count()));
-    const auto call = std::make_shared<DispatchCall>(std::move(request), std::move(completion), m_metrics);
+    const auto call = std::make_shared<DispatchCall>(std::move(request), std::move(completion), m_metrics, m_dispatches);
     call->start(*peer->stub, remaining);
     return call;
 }
@@ -171,6 +176,16 @@
     return response;
 }
 
+bool PeerChannels::waitUntilIdle(Duration limit)
+{
+    constexpr std::chrono::milliseconds CheckInterval(1);
+    const TimePoint end = SteadyClock().now() + limit;
+    while (m_dispatches > 0 && SteadyClock().now() < end) {
+        std::this_thread::sleep_for(CheckInterval);
+    }
+    return m_dispatches == 0;
+}
+
 void PeerChannels::closeIdle()
 {
     const TimePoint now = SteadyClock().now();
--- a/src/connection/peerchannels.h
+++ b/src/connection/peerchannels.h
@@ -4,6 +4,7 @@
 
 #include <peer.grpc.pb.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +61,12 @@
     /** @return configurations in force at the peer, empty if it did not answer in time */
     std::optional<v1::InForceResponse> inForce(const std::string &address, const v1::InForceRequest &request, Duration timeout);
 
+    /**
+     * Waits until no dispatched request is in progress, so that none refers to parts of the daemon that are about to end.
+     * @return false if @p limit passed first
+     */
+    bool waitUntilIdle(Duration limit);
+
     /** Closes channels that were not used for a while. To be called every few seconds. */
     void closeIdle();
 
@@ -72,6 +79,7 @@
     const TlsCredentials &m_credentials;
     Metrics &m_metrics;
     const uint64_t m_maxBodyBytes;
+    std::atomic<uint32_t> m_dispatches { 0 }; /**< Dispatched requests in progress. */
     std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<Channel>> m_channels;
 };
--- a/src/connection/peerserver.cpp
+++ b/src/connection/peerserver.cpp
@@ -26,7 +26,7 @@
         m_response = &response;
         m_requestId = request.request_id();
         CallRequest call = fromMessage(request, SteadyClock().now());
-        auto session = admission.submit(std::move(call), request.target_incarnation(), request.may_queue(), [self = m_self](CallResult result) {
+        auto session = admission.submit(std::move(call), request.target_incarnation(), request.may_queue(), [self = m_self](const CallResult &result) {
             *self->m_response = toMessage(self->m_requestId, result);
             self->Finish(grpc::Status::OK);
         });
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -1,5 +1,6 @@
 #include "process/daemon.h"
 
+#include <carobjunction/process/targetsubset.h>
 #include <carobjunction/version/serviceconfigparser.h>
 
 #include "connection/socketaddress.h"
@@ -20,6 +21,7 @@
 constexpr uint32_t MaintenanceRunsPerIdleCheck = 1000;
 constexpr std::chrono::milliseconds ServerStopGrace(500);
 constexpr std::chrono::milliseconds DrainCheckInterval(5);
+constexpr std::chrono::seconds CancelledCallLimit(5);
 constexpr std::chrono::seconds StoreTasksInterval(1);
 constexpr std::chrono::milliseconds ProbeTimeout(500);
 constexpr std::chrono::milliseconds IndirectProbeTimeout(500);
@@ -328,6 +330,8 @@
     if (m_callerServer) {
         m_callerServer->stop();
     }
+    // Cancelled halves of hedges still report to the parts that end below.
+    m_channels.waitUntilIdle(CancelledCallLimit);
     if (m_gossipTask) {
         // The last message tells the neighbours that this daemon has left, so that none has to find out.
         m_gossip->updateOwn([](Member &own) { own.state = MemberState::Left; });
@@ -384,7 +388,7 @@
     for (const MemberPointer &member : *m_view.targets(service)) {
         targets.push_back(targetInfoOf(*member));
     }
-    m_targets.setTargets(service, std::move(targets));
+    m_targets.setTargets(service, targetSubset(std::move(targets), m_settings.daemon, m_settings.region));
 }
 
 void Daemon::onConfig(const ConfigTable::Config &config)
