Report daemons that end by a signal

Cause: In rolling-restart a daemon vanished without a log line, and the scenario said only that a target did not come up. Change: A daemon that ended by a signal other than the scenario's own SIGKILL is a fault of the run. Conclusion: The cause is not known yet; the scenario says more the next time.

--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -9,6 +9,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <sys/wait.h>
+
 #include <csignal>
 #include <thread>
 
@@ -189,6 +191,19 @@
     const std::vector<std::string> stepsBack = m_versions->finish();
     m_faults.insert(m_faults.end(), stepsBack.begin(), stepsBack.end());
     checkRetryBudget();
+    checkProcesses();
+}
+
+/** Guards against a daemon that crashes while the others make up for it. */
+void ScenarioRunner::checkProcesses()
+{
+    for (std::size_t i = 0; i < m_cluster->size(); ++i) {
+        bench::ChildProcess *daemon = m_cluster->daemon(i);
+        // The scenario itself uses SIGKILL only.
+        if (daemon != nullptr && daemon->waitForExit(milliseconds(0)) && WIFSIGNALED(daemon->status()) && WTERMSIG(daemon->status()) != SIGKILL) {
+            m_faults.push_back("daemon " + std::to_string(i) + " ended by signal " + std::to_string(WTERMSIG(daemon->status())));
+        }
+    }
 }
 
 void ScenarioRunner::checkRetryBudget()
--- a/tests/scenarios/scenariorunner.h
+++ b/tests/scenarios/scenariorunner.h
@@ -48,6 +48,7 @@
     void comeToRest();
     void checkInvariants();
     void checkRetryBudget();
+    void checkProcesses();
 
     // Calls
     void call(const YAML::Node &node);
