Hold the member list while iterating over it

Cause: Loops over *view.members() and *view.targets() kept a reference into a list whose last owner was a temporary, which ends before the first pass. When the view changed meanwhile, the list was freed and the daemon crashed (SIGSEGV). Change: The list is held by a variable of the loop. Conclusion: A change of the view no longer frees what a loop reads.

--- a/include/carobjunction/process/membershipview.h
+++ b/include/carobjunction/process/membershipview.h
@@ -195,7 +195,7 @@
         return found == m_records.end() ? nullptr : found->second.member;
     }
 
-    /** @return all entries, in the order of their ids */
+    /** @return all entries, in the order of their ids; the caller must hold the list while it uses an entry, as a change replaces it */
     MemberList members() const
     {
         const std::lock_guard lock(m_mutex);
@@ -278,7 +278,7 @@
             isWanted.at(bucket % BucketCount) = true;
         }
         std::vector<MemberPointer> entries;
-        for (const MemberPointer &member : *members()) {
+        for (const MemberList list = members(); const MemberPointer &member : *list) {
             if (isWanted.at(bucketOf(member->daemon))) {
                 entries.push_back(member);
             }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -366,7 +366,7 @@
         return;
     }
     std::vector<TargetInfo> targets;
-    for (const MemberPointer &member : *m_view.targets(service)) {
+    for (const MemberList members = m_view.targets(service); const MemberPointer &member : *members) {
         targets.push_back(targetInfoOf(*member));
     }
     m_targets.setTargets(service, std::move(targets));
--- a/src/process/daemonreports.cpp
+++ b/src/process/daemonreports.cpp
@@ -110,7 +110,7 @@
     if (withMembers) {
         v1::InForceRequest request;
         request.set_service(service);
-        for (const MemberPointer &member : *m_view.members()) {
+        for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
             if (!member->isLive() || member->daemon == m_settings.daemon) {
                 continue;
             }
@@ -129,7 +129,7 @@
 std::string Daemon::targetsJson(const std::string &service)
 {
     nlohmann::json targets = nlohmann::json::array();
-    for (const MemberPointer &member : *m_view.members()) {
+    for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
         if (!service.empty() && member->service != service) {
             continue;
         }
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -628,7 +628,7 @@
     {
         std::set<std::string> live;
         std::vector<std::string> candidates;
-        for (const MemberPointer &member : *m_view.members()) {
+        for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
             if (member->isLive()) {
                 live.insert(member->peerAddress);
             } else if (member->state == MemberState::Failed) {
@@ -902,7 +902,7 @@
             return;
         }
         std::vector<MemberPointer> others;
-        for (const MemberPointer &member : *m_view.members()) {
+        for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
             if (member->region == lost->region && member->isLive() && member != lost) {
                 others.push_back(member);
             }
@@ -971,7 +971,7 @@
     std::vector<MemberPointer> helpersFor(const Member &member)
     {
         std::vector<MemberPointer> helpers;
-        for (const MemberPointer &candidate : *m_view.members()) {
+        for (const MemberList members = m_view.members(); const MemberPointer &candidate : *members) {
             if (candidate->state <= MemberState::Leaving && candidate->daemon != member.daemon && candidate->daemon != m_view.ownId()) {
                 helpers.push_back(candidate);
             }
