--- a/include/carobjunction/process/membershipview.h
+++ b/include/carobjunction/process/membershipview.h
@@ -196,7 +196,7 @@
         return found == m_records.end() ? nullptr : found->second.member;
     }
 
-    /** @return all entries, in the order of their ids */
+    /** @return all entries, in the order of their ids; the caller must hold the list while it uses an entry, as a change replaces it */
     MemberList members() const
     {
         const std::lock_guard lock(m_mutex);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -385,7 +385,7 @@
         return;
     }
     std::vector<TargetInfo> targets;
-    for (const MemberPointer &member : *m_view.targets(service)) {
+    for (const MemberList members = m_view.targets(service); const MemberPointer &member : *members) {
         targets.push_back(targetInfoOf(*member));
     }
     m_targets.setTargets(service, targetSubset(std::move(targets), m_settings.daemon, m_settings.region));
@@ -439,7 +439,7 @@
 std::vector<std::string> Daemon::peersOfRegion() const
 {
     std::vector<std::string> addresses;
-    for (const MemberPointer &member : *m_view.members()) {
+    for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
         if (member->region == m_settings.region && member->state == MemberState::Up) {
             addresses.push_back(member->peerAddress);
         }
--- a/src/process/daemonreports.cpp
+++ b/src/process/daemonreports.cpp
@@ -147,7 +147,7 @@
 std::string Daemon::targetsJson(const std::string &service)
 {
     nlohmann::json targets = nlohmann::json::array();
-    for (const MemberPointer &member : *m_view.members()) {
+    for (const MemberList members = m_view.members(); const MemberPointer &member : *members) {
         if (!service.empty() && member->service != service) {
             continue;
         }
