--- a/include/carobjunction/process/targetsubset.h
+++ b/include/carobjunction/process/targetsubset.h
@@ -11,8 +11,8 @@
 
 /** Most targets of one service that a daemon routes to. Bounds its connections and the cost of a decision. */
 constexpr size_t MaxTargetsOfService = 32;
-/** Of these, most targets outside the own region, for the case that the near ones are full or lost. */
-constexpr size_t MaxRemoteTargetsOfService = 8;
+/** Of these, most targets in the own region; the other places are for the case that the near ones are full or lost. */
+constexpr size_t MaxNearTargetsOfService = 24;
 
 /**
  * Chooses the targets of a large service that one daemon routes to: those with the highest hash of daemon and target, counted apart
--- a/src/process/targetsubset.cpp
+++ b/src/process/targetsubset.cpp
@@ -42,10 +42,8 @@
     const auto firstRemote = std::partition(targets.begin(), targets.end(), [ownRegion](const TargetInfo &target) { return target.region == ownRegion; });
     std::vector<TargetInfo> remote(std::make_move_iterator(firstRemote), std::make_move_iterator(targets.end()));
     targets.erase(firstRemote, targets.end());
-    // Without targets in the own region all places go to the others.
-    const size_t remotePlaces = targets.empty() ? MaxTargetsOfService : MaxRemoteTargetsOfService;
-    keepHighest(remote, remotePlaces, ownDaemon);
-    keepHighest(targets, MaxTargetsOfService - MaxRemoteTargetsOfService, ownDaemon);
+    keepHighest(targets, MaxNearTargetsOfService, ownDaemon);
+    keepHighest(remote, MaxTargetsOfService - targets.size(), ownDaemon);
     targets.insert(targets.end(), std::make_move_iterator(remote.begin()), std::make_move_iterator(remote.end()));
     return targets;
 }
