--- a/include/carobjunction/version/serviceconfig.h
+++ b/include/carobjunction/version/serviceconfig.h
@@ -90,7 +90,7 @@
     RetryRules retries;
     MeasuringBudget measuring;
     Duration keyWindow = std::chrono::hours(24); /**< Time in which an idempotency key stays claimed. */
-    uint64_t maxBodyBytes = 16U << 20U; /**< Largest request and answer body. */
+    uint64_t maxBodyBytes = 16U << 20U; /**< Largest request body. Answers are bounded by `max-body` of the settings. */
     std::vector<RouteRule> routes;
 
     /**
