--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -24,15 +24,9 @@
 constexpr std::chrono::seconds CancelledCallLimit(5);
 constexpr std::chrono::seconds StoreTasksInterval(1);
 constexpr std::chrono::milliseconds ProbeTimeout(500);
-constexpr std::chrono::milliseconds IndirectProbeTimeout(500);
 // Serialized probe and report with the HTTP/2 frames around them.
 constexpr uint64_t ProbeBytes = 220;
 
-uint64_t wallClockMs()
-{
-    return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-}
-
 std::string randomHex()
 {
     std::random_device device;
@@ -98,7 +92,7 @@
 {
     Member own;
     own.daemon = m_settings.daemon;
-    own.incarnation = wallClockMs();
+    own.incarnation = static_cast<uint64_t>(m_wallClock.nowMs());
     own.region = m_settings.region;
     own.dataCentre = m_settings.dataCentre;
     own.peerAddress = m_settings.peerAddress;
