--- /dev/null
+++ b/include/carobjunction/process/backendgate.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+#include <carobjunction/process/vmrecord.h>
+
+#include <string>
+
+namespace carobjunction
+{
+
+/** What a backend server says of itself in one heartbeat. */
+struct Heartbeat {
+    std::string id;
+    uint64_t bornMs = 0; /**< Start of the process, Unix time in milliseconds; 0 if it does not say. */
+    std::string service;
+    std::string address;
+    uint32_t slots = 0;
+    bool draining = false;
+    uint64_t sequence = 0; /**< Grows with each heartbeat of one process. */
+    Duration coldRemaining = Duration::zero(); /**< How much longer it is slow after its start. */
+};
+
+/** What a heartbeat changed. */
+enum class HeartbeatEffect {
+    Stale, /**< It is older than what is known, or of a process that has left; nothing changed. */
+    Refreshed, /**< The backend server lives; its record is as before. */
+    Changed, /**< The record changed. */
+};
+
+/**
+ * Decides whether the backend server beside this daemon may be given work. The only way to it leads through its own daemon,
+ * so a closed gate is enough to keep work from a server that is leaving. Not thread-safe.
+ *
+ * Closed at the start, until a heartbeat is heard. Closed for good for a process (id and birth) that announced its end; a later
+ * heartbeat of the same process, a delayed one of an earlier process, or one with an earlier sequence number never opens it.
+ */
+class BackendGate
+{
+public:
+    /**
+     * @param silenceLimit  silence after which the backend server counts as gone until its next heartbeat
+     */
+    explicit BackendGate(Duration silenceLimit) : m_silenceLimit(silenceLimit)
+    {
+    }
+
+    HeartbeatEffect onHeartbeat(const Heartbeat &beat, TimePoint now);
+
+    /** The backend server says that it ends. @return whether the record changed */
+    bool onLeave(const std::string &id);
+
+    /** Another process answered at the address, or none did. Closes the gate until the next heartbeat. @return whether the record changed */
+    bool onLost();
+
+    /** Closes the gate after too long a silence. @return whether the record changed */
+    bool checkSilence(TimePoint now);
+
+    bool isOpen() const
+    {
+        return m_record.state == BackendState::Ready;
+    }
+
+    /** @return whether the server is slow because it started a short time ago */
+    bool isCold(TimePoint now) const
+    {
+        return now < m_coldUntil;
+    }
+
+    const BackendRecord &record() const
+    {
+        return m_record;
+    }
+
+private:
+    bool isFormerProcess(const Heartbeat &beat) const;
+
+    Duration m_silenceLimit;
+    BackendRecord m_record;
+    uint64_t m_sequence = 0;
+    bool m_leaving = false;
+    TimePoint m_heardAt;
+    TimePoint m_coldUntil;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/include/carobjunction/process/slotqueue.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+#include <carobjunction/request/reason.h>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <optional>
+#include <vector>
+
+namespace carobjunction
+{
+
+/** A request that asks for a slot of the backend server. */
+struct SlotRequest {
+    uint32_t priority = 0; /**< 0 is the most urgent. */
+    TimePoint aimAt; /**< Time until which an answer is in good time. */
+    TimePoint deadlineAt; /**< Time after which an answer is of no use. */
+    Duration work = Duration::zero(); /**< Time that the backend server is expected to take. */
+    bool mayQueue = false; /**< Whether the request may wait here, or is better off at another target. */
+};
+
+/** How a wait for a slot ended. */
+enum class SlotEnd {
+    Granted,
+    Expired, /**< It can't be served before its deadline any more. */
+    Closed, /**< The target accepts no new work. */
+};
+
+/** Slots of a target at one moment. */
+struct SlotUse {
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    uint32_t limit = 0; /**< Requests that may run at once. */
+    Duration predictedWait = Duration::zero(); /**< Time until a new request would get a slot. */
+};
+
+/**
+ * Slots of one backend server and the requests that wait for them. Not thread-safe.
+ *
+ * Requests wait here rather than in the backend server, where they could neither be ordered nor withdrawn. Those that can still be
+ * answered in good time go first, by priority and then by the end of their good time; late ones use what is left.
+ */
+class SlotQueue
+{
+public:
+    using Waiter = std::function<void(SlotEnd)>;
+    /** Names a waiting request. */
+    using Ticket = uint64_t;
+
+    /** Outcome of an offer. */
+    struct Decision {
+        bool isGranted = false;
+        std::optional<Ticket> ticket; /**< Set if the request waits. */
+        Reason reason = Reason::None; /**< Why it was refused. */
+        Duration retryAfter = Duration::zero(); /**< Time after which another try has a chance; for refusals. */
+    };
+
+    /** Late requests that may wait at once, as a share of the limit. */
+    static constexpr double LateShare = 0.5;
+    /** Part of the time to the deadline that a prediction may use, since predictions err. */
+    static constexpr double DeadlineMargin = 0.9;
+
+    /** @param limit  requests that may run at once */
+    void setLimit(uint32_t limit)
+    {
+        m_limit = limit;
+    }
+
+    /** @param waiter  called once if the request has to wait; not called after withdraw() */
+    Decision offer(const SlotRequest &request, TimePoint now, Waiter waiter);
+
+    /** Gives up a slot and grants it to the next request. */
+    void release(TimePoint now);
+
+    /** Takes a waiting request out. */
+    void withdraw(Ticket ticket);
+
+    /** Ends the wait of requests that can't be served in time any more. */
+    void expire(TimePoint now);
+
+    /** Ends the wait of all requests. */
+    void closeAll();
+
+    SlotUse use() const;
+
+    /** Records the time that the backend server took for a request, for predictions. */
+    void observeWork(Duration work);
+
+private:
+    struct Waiting {
+        Ticket ticket = 0;
+        SlotRequest request;
+        Waiter waiter;
+    };
+    using Iterator = std::list<Waiting>::iterator;
+
+    Duration predictedWait(size_t ahead) const;
+    size_t countAhead(const SlotRequest &request, TimePoint now) const;
+    Iterator best(TimePoint now);
+    void grantNext(TimePoint now);
+
+    uint32_t m_limit = 1;
+    uint32_t m_running = 0;
+    Ticket m_lastTicket = 0;
+    std::list<Waiting> m_waiting;
+    Duration m_meanWork = std::chrono::milliseconds(100);
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/datagramport.cpp
@@ -0,0 +1,53 @@
+#include "connection/datagramport.h"
+
+namespace carobjunction
+{
+
+DatagramPort::DatagramPort(asio::io_context &loop, Receiver receiver) : m_socket(loop), m_receiver(std::move(receiver))
+{
+}
+
+std::shared_ptr<DatagramPort> DatagramPort::open(asio::io_context &loop, const Udp::endpoint &address, Receiver receiver, ErrorCode &error)
+{
+    std::shared_ptr<DatagramPort> port(new DatagramPort(loop, std::move(receiver)));
+    port->m_socket.open(address.protocol(), error);
+    if (!error) {
+        port->m_socket.bind(address, error);
+    }
+    if (!error) {
+        port->m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return nullptr;
+    }
+    port->receive();
+    return port;
+}
+
+void DatagramPort::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [self = shared_from_this()](ErrorCode error, size_t size) {
+        if (!self->m_socket.is_open()) {
+            return;
+        }
+        // An error such as an unreachable receiver of an earlier datagram concerns that datagram only.
+        if (!error) {
+            self->m_receiver({ self->m_buffer.data(), size });
+        }
+        self->receive();
+    });
+}
+
+void DatagramPort::send(const Udp::endpoint &to, std::string_view datagram)
+{
+    ErrorCode ignored; // datagrams may be lost at any point; the next one carries the same state
+    m_socket.send_to(asio::buffer(datagram.data(), datagram.size()), to, 0, ignored);
+}
+
+void DatagramPort::close()
+{
+    ErrorCode ignored; // the port is given up in any case
+    m_socket.close(ignored);
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/datagramport.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "connection/asio.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace carobjunction
+{
+
+/** Sends and receives datagrams on one port. Used on one event loop; not thread-safe. */
+class DatagramPort : public std::enable_shared_from_this<DatagramPort>
+{
+public:
+    using Receiver = std::function<void(std::string_view)>;
+
+    /** @return the port, or null if it can't be opened; @p error then says why */
+    static std::shared_ptr<DatagramPort> open(asio::io_context &loop, const Udp::endpoint &address, Receiver receiver, ErrorCode &error);
+
+    /** Sends without waiting. A datagram that finds the buffer full is dropped, like one that is lost on the way. */
+    void send(const Udp::endpoint &to, std::string_view datagram);
+
+    void close();
+
+private:
+    static constexpr size_t LargestDatagram = 8192;
+
+    DatagramPort(asio::io_context &loop, Receiver receiver);
+    void receive();
+
+    Udp::socket m_socket;
+    Receiver m_receiver;
+    Udp::endpoint m_sender;
+    std::array<char, LargestDatagram> m_buffer {};
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/httplistener.cpp
@@ -0,0 +1,286 @@
+#include "connection/httplistener.h"
+
+#include "connection/socketoptions.h"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr int Backlog = 1024;
+constexpr auto AcceptRetry = std::chrono::milliseconds(20); // wait after a failed accept, such as for lack of descriptors
+constexpr auto LingerTime = std::chrono::milliseconds(500); // time for the client to read the answer before the connection is reset
+
+} // namespace
+
+/** One connection of a client. Kept alive by its own coroutine. */
+class HttpListener::Session : public std::enable_shared_from_this<HttpListener::Session>
+{
+public:
+    Session(std::shared_ptr<HttpListener> listener, Tcp::socket socket)
+        : m_listener(std::move(listener)), m_socket(std::move(socket)), m_timer(m_listener->m_loop)
+    {
+    }
+
+    Task<void> run();
+
+    void closeIfIdle()
+    {
+        if (!m_isBusy) {
+            close();
+        }
+    }
+
+private:
+    using Parser = http::request_parser<http::string_body>;
+
+    Task<bool> serveOne();
+    Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
+    Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
+    Task<bool> answer(HttpRequest request);
+    Task<void> reject(http::status status);
+    Task<void> linger();
+    void watchForClose(const CancellationPtr &cancellation);
+    void closeAfter(Duration time);
+    void close();
+
+    std::shared_ptr<HttpListener> m_listener;
+    Tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    beast::flat_buffer m_buffer;
+    bool m_isBusy = false;
+};
+
+void HttpListener::Session::close()
+{
+    ErrorCode ignored; // the connection is given up in any case
+    m_socket.close(ignored);
+}
+
+void HttpListener::Session::closeAfter(Duration time)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
+        if (!error) {
+            self->close();
+        }
+    });
+}
+
+Task<void> HttpListener::Session::run()
+{
+    const auto self = shared_from_this();
+    while (co_await serveOne()) { }
+    m_timer.cancel();
+    close();
+    m_listener->m_sessions.erase(self);
+}
+
+Task<bool> HttpListener::Session::serveOne()
+{
+    const ListenerLimits limits = m_listener->m_limits();
+    Parser parser;
+    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    if (!co_await readHeader(parser, limits)) {
+        co_return false;
+    }
+    m_isBusy = true;
+    if (!co_await readBody(parser, limits)) {
+        co_return false;
+    }
+    ++m_listener->m_activeRequests;
+    const bool isKept = co_await answer(parser.release());
+    --m_listener->m_activeRequests;
+    m_isBusy = false;
+    co_return isKept;
+}
+
+Task<bool> HttpListener::Session::readHeader(Parser &parser, const ListenerLimits &limits)
+{
+    ErrorCode error;
+    if (m_buffer.size() == 0) {
+        closeAfter(limits.idleTimeout);
+        co_await m_socket.async_wait(Tcp::socket::wait_read, into(error));
+    }
+    if (error) {
+        co_return false;
+    }
+    closeAfter(limits.headerTimeout);
+    co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
+    m_timer.cancel();
+    if (!error) {
+        co_return true;
+    }
+    if (error == http::error::header_limit) {
+        co_await reject(http::status::request_header_fields_too_large);
+    } else if (error != http::error::end_of_stream && error.category() == http::make_error_code(http::error::bad_method).category()) {
+        co_await reject(http::status::bad_request);
+    }
+    co_return false;
+}
+
+Task<bool> HttpListener::Session::readBody(Parser &parser, const ListenerLimits &limits)
+{
+    if (parser.is_done()) {
+        co_return true;
+    }
+    ErrorCode error;
+    if (parser.get()[http::field::expect] == "100-continue") {
+        http::response<http::string_body> interim(http::status::continue_, parser.get().version());
+        co_await http::async_write(m_socket, interim, into(error));
+    }
+    closeAfter(limits.bodyTimeout);
+    co_await http::async_read(m_socket, m_buffer, parser, into(error));
+    m_timer.cancel();
+    if (!error) {
+        co_return true;
+    }
+    if (error == http::error::body_limit) {
+        co_await reject(http::status::payload_too_large);
+    } else if (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::partial_message) {
+        co_await reject(http::status::bad_request);
+    }
+    co_return false;
+}
+
+void HttpListener::Session::watchForClose(const CancellationPtr &cancellation)
+{
+    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), cancellation](ErrorCode error) {
+        if (!error && isClosedByPeer(self->m_socket)) {
+            cancellation->request();
+        }
+    });
+}
+
+Task<bool> HttpListener::Session::answer(HttpRequest request)
+{
+    const auto cancellation = std::make_shared<Cancellation>();
+    const bool isHead = request.method() == http::verb::head;
+    const bool wantsKeepAlive = request.keep_alive();
+    if (m_buffer.size() == 0) {
+        watchForClose(cancellation);
+    }
+    MaybeResponse response = co_await m_listener->m_handler(std::move(request), cancellation);
+    ErrorCode error;
+    m_socket.cancel(error);
+    if (!response || cancellation->isRequested() || error) {
+        co_return false;
+    }
+    const bool isKept = wantsKeepAlive && !m_listener->m_isClosing;
+    response->keep_alive(isKept);
+    if (!isHead) {
+        response->prepare_payload();
+    }
+    closeAfter(m_listener->m_limits().bodyTimeout);
+    if (isHead) {
+        http::response<http::empty_body> head(std::move(response->base()));
+        co_await http::async_write(m_socket, head, into(error));
+    } else {
+        co_await http::async_write(m_socket, *response, into(error));
+    }
+    m_timer.cancel();
+    if (!error && !isKept) {
+        co_await linger();
+    }
+    co_return !error && isKept;
+}
+
+Task<void> HttpListener::Session::reject(http::status status)
+{
+    HttpResponse response(status, 11);
+    response.keep_alive(false);
+    response.prepare_payload();
+    ErrorCode error;
+    closeAfter(LingerTime);
+    co_await http::async_write(m_socket, response, into(error));
+    m_timer.cancel();
+    if (!error) {
+        co_await linger();
+    }
+}
+
+/** Closing with unread bytes resets the connection, which may destroy the answer on its way. */
+Task<void> HttpListener::Session::linger()
+{
+    ErrorCode error;
+    m_socket.shutdown(Tcp::socket::shutdown_send, error);
+    closeAfter(LingerTime);
+    std::array<char, 4096> unread {};
+    while (!error) {
+        co_await m_socket.async_read_some(asio::buffer(unread), into(error));
+    }
+    m_timer.cancel();
+}
+
+HttpListener::HttpListener(asio::io_context &loop, RequestHandler handler, std::function<ListenerLimits()> limits)
+    : m_loop(loop), m_acceptor(loop), m_handler(std::move(handler)), m_limits(std::move(limits))
+{
+}
+
+std::shared_ptr<HttpListener>
+HttpListener::open(asio::io_context &loop, const Tcp::endpoint &address, RequestHandler handler, std::function<ListenerLimits()> limits, ErrorCode &error)
+{
+    std::shared_ptr<HttpListener> listener(new HttpListener(loop, std::move(handler), std::move(limits)));
+    listener->m_acceptor.open(address.protocol(), error);
+    if (!error) {
+        listener->m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        listener->m_acceptor.bind(address, error);
+    }
+    if (!error) {
+        listener->m_acceptor.listen(Backlog, error);
+    }
+    if (error) {
+        return nullptr;
+    }
+    asio::co_spawn(
+        loop, [listener]() -> Task<void> { co_await listener->accept(); }, asio::detached);
+    return listener;
+}
+
+Task<void> HttpListener::accept()
+{
+    asio::steady_timer pause(m_loop);
+    while (m_acceptor.is_open()) {
+        ErrorCode error;
+        Tcp::socket socket = co_await m_acceptor.async_accept(into(error));
+        if (!m_acceptor.is_open()) {
+            co_return;
+        }
+        if (error) {
+            pause.expires_after(AcceptRetry);
+            co_await pause.async_wait(into(error));
+            continue;
+        }
+        if (m_sessions.size() >= m_limits().connections) {
+            continue; // the socket closes
+        }
+        setLivenessOptions(socket);
+        auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
+        m_sessions.insert(session);
+        asio::co_spawn(
+            m_loop, [session]() -> Task<void> { co_await session->run(); }, asio::detached);
+    }
+}
+
+void HttpListener::close()
+{
+    ErrorCode ignored; // nothing is left to do if the port can't be closed
+    m_acceptor.close(ignored);
+    const auto sessions = m_sessions;
+    for (const std::shared_ptr<Session> &session : sessions) {
+        session->closeIfIdle();
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/httplistener.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+
+#include "connection/asio.h"
+#include "request/cancellation.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace carobjunction
+{
+
+/** Bounds on what a client may send to a listener. */
+struct ListenerLimits {
+    uint64_t headerBytes = 64U << 10U;
+    uint64_t bodyBytes = 64U << 20U;
+    Duration headerTimeout = std::chrono::seconds(5);
+    Duration bodyTimeout = std::chrono::seconds(30);
+    Duration idleTimeout = std::chrono::seconds(20);
+    size_t connections = 2000;
+};
+
+/** An answer, or empty to close the connection without one. */
+using MaybeResponse = std::optional<HttpResponse>;
+
+/** Answers one request. The cancellation tells when the client has left. */
+using RequestHandler = std::function<Task<MaybeResponse>(HttpRequest, CancellationPtr)>;
+
+/**
+ * Accepts HTTP/1.1 connections on one port and hands their requests to a handler, one at a time on a connection.
+ * Used on one event loop; not thread-safe.
+ */
+class HttpListener : public std::enable_shared_from_this<HttpListener>
+{
+public:
+    /**
+     * Opens the port.
+     * @param limits  asked for each request
+     * @return the listener, or null if the port can't be opened; @p error then says why
+     */
+    static std::shared_ptr<HttpListener>
+    open(asio::io_context &loop, const Tcp::endpoint &address, RequestHandler handler, std::function<ListenerLimits()> limits, ErrorCode &error);
+
+    /** Answers from now on tell clients that their connection is closed after them. */
+    void announceClose()
+    {
+        m_isClosing = true;
+    }
+
+    /** Closes the port and the connections that have no request. */
+    void close();
+
+    /** @return requests that are being answered */
+    size_t activeRequests() const
+    {
+        return m_activeRequests;
+    }
+
+    Tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+private:
+    class Session;
+
+    HttpListener(asio::io_context &loop, RequestHandler handler, std::function<ListenerLimits()> limits);
+    Task<void> accept();
+
+    asio::io_context &m_loop;
+    Tcp::acceptor m_acceptor;
+    RequestHandler m_handler;
+    std::function<ListenerLimits()> m_limits;
+    std::set<std::shared_ptr<Session>> m_sessions;
+    size_t m_activeRequests = 0;
+    bool m_isClosing = false;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/messagefields.cpp
@@ -0,0 +1,52 @@
+#include "connection/messagefields.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <vector>
+
+namespace carobjunction
+{
+
+void removeConnectionFields(http::fields &fields)
+{
+    std::vector<std::string> named;
+    for (const auto token : http::token_list(fields[http::field::connection])) {
+        named.emplace_back(token.data(), token.size());
+    }
+    for (const std::string &name : named) {
+        fields.erase(name);
+    }
+    for (const http::field field : { http::field::connection,
+                                     http::field::keep_alive,
+                                     http::field::proxy_connection,
+                                     http::field::te,
+                                     http::field::trailer,
+                                     http::field::transfer_encoding,
+                                     http::field::upgrade,
+                                     http::field::expect,
+                                     http::field::content_length }) {
+        fields.erase(field);
+    }
+}
+
+std::string fieldText(const http::fields &fields, const std::string &name)
+{
+    const auto value = fields[name];
+    return std::string(value.data(), value.size());
+}
+
+bool hasField(const http::fields &fields, const std::string &name)
+{
+    return fields.find(name) != fields.end();
+}
+
+HttpResponse ownAnswer(http::status status, const std::string &text)
+{
+    HttpResponse response(status, 11);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = text + "\n";
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/peerclients.cpp
@@ -0,0 +1,91 @@
+#include "connection/peerclients.h"
+
+#include "connection/endpoints.h"
+#include "connection/peercodec.h"
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr auto NearConnectTimeout = std::chrono::milliseconds(150);
+constexpr auto FarConnectTimeout = std::chrono::milliseconds(400);
+constexpr auto StateTimeout = std::chrono::milliseconds(1500);
+constexpr auto AnswerMargin = std::chrono::milliseconds(80); // the peer answers at the deadline; its answer takes a round trip
+
+} // namespace
+
+std::shared_ptr<HttpClientPool> PeerClients::pool(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found != m_pools.end()) {
+        return found->second;
+    }
+    const auto endpoint = toEndpoint(address);
+    if (!endpoint) {
+        return nullptr;
+    }
+    auto created = std::make_shared<HttpClientPool>(m_loop, *endpoint, PoolLimits {});
+    m_pools.emplace(address, created);
+    return created;
+}
+
+Task<ForwardResult> PeerClients::forward(std::string address, bool isSameRegion, ForwardRequest request, CancellationPtr cancellation)
+{
+    const auto connections = pool(address);
+    if (!connections) {
+        co_return ForwardResult::notRun(Reason::PeerUnreachable);
+    }
+    ExchangeOptions options;
+    options.deadline = request.deadlineAt + AnswerMargin;
+    options.connectTimeout = isSameRegion ? NearConnectTimeout : FarConnectTimeout;
+    ExchangeResult exchange = co_await connections->exchange(PeerCodec::encode(request, SteadyClock().now()), std::move(options), std::move(cancellation));
+    switch (exchange.end) {
+    case ExchangeEnd::Answered:
+        if (auto result = PeerCodec::decode(std::move(exchange.response))) {
+            co_return std::move(*result);
+        }
+        co_return ForwardResult::unknown(Reason::AnswerLost, "unreadable answer of the peer");
+    case ExchangeEnd::NotSent: {
+        ForwardResult result = ForwardResult::notRun(Reason::PeerUnreachable);
+        result.detail = std::move(exchange.detail);
+        co_return result;
+    }
+    case ExchangeEnd::TimedOut:
+        co_return ForwardResult::unknown(Reason::DeadlineExceeded, std::move(exchange.detail));
+    case ExchangeEnd::Cancelled:
+        co_return ForwardResult::unknown(Reason::Cancelled, std::move(exchange.detail));
+    case ExchangeEnd::Lost:
+        break;
+    }
+    co_return ForwardResult::unknown(Reason::AnswerLost, std::move(exchange.detail));
+}
+
+Task<std::optional<std::string>> PeerClients::fetchState(std::string address)
+{
+    const auto connections = pool(address);
+    if (!connections) {
+        co_return std::nullopt;
+    }
+    ExchangeOptions options;
+    options.deadline = SteadyClock().now() + StateTimeout;
+    HttpRequest request(http::verb::get, PeerCodec::StatePath, 11);
+    request.set(http::field::host, "peer");
+    ExchangeResult exchange = co_await connections->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
+    if (exchange.end != ExchangeEnd::Answered || exchange.response.result() != http::status::ok) {
+        co_return std::nullopt;
+    }
+    co_return std::move(exchange.response.body());
+}
+
+void PeerClients::forget(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found != m_pools.end()) {
+        found->second->closeIdle();
+        m_pools.erase(found);
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/connection/peercodec.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "request/forwarding.h"
+
+#include <optional>
+
+namespace carobjunction
+{
+
+/**
+ * Message between the entry daemon and the daemon beside a target: the caller's request with one more header field, and the
+ * backend server's answer with one more header field. Both fields hold JSON.
+ */
+class PeerCodec
+{
+public:
+    /** Path prefix of the calls between daemons that are no requests of callers. */
+    static constexpr const char *StatePath = "/carobjunction/state";
+    /** Field of a forwarded request. Removed from what callers send. */
+    static constexpr const char *RequestField = "Carob-Forward";
+    /** Field of the answer to a forwarded request. */
+    static constexpr const char *ResultField = "Carob-Result";
+
+    static HttpRequest encode(const ForwardRequest &request, TimePoint now);
+
+    /** @return the request, or empty if the field is absent or can't be read */
+    static std::optional<ForwardRequest> decode(HttpRequest message, TimePoint now);
+
+    static HttpResponse encode(ForwardResult result);
+
+    /** @return the result, or empty if the field is absent or can't be read */
+    static std::optional<ForwardResult> decode(HttpResponse message);
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/backendgate.cpp
@@ -0,0 +1,63 @@
+#include <carobjunction/process/backendgate.h>
+
+namespace carobjunction
+{
+
+bool BackendGate::isFormerProcess(const Heartbeat &beat) const
+{
+    if (beat.bornMs != m_record.bornMs) {
+        return beat.bornMs < m_record.bornMs;
+    }
+    return beat.id == m_record.id && beat.sequence <= m_sequence;
+}
+
+HeartbeatEffect BackendGate::onHeartbeat(const Heartbeat &beat, TimePoint now)
+{
+    const bool known = !m_record.id.empty();
+    if (known && isFormerProcess(beat)) {
+        return HeartbeatEffect::Stale;
+    }
+    const bool sameProcess = known && beat.id == m_record.id && beat.bornMs == m_record.bornMs;
+    if (!sameProcess) {
+        m_leaving = false;
+    }
+    m_leaving = m_leaving || beat.draining;
+    m_sequence = beat.sequence;
+    m_heardAt = now;
+    m_coldUntil = now + beat.coldRemaining;
+    const BackendState state
+        = !m_leaving ? BackendState::Ready : (m_record.state == BackendState::Gone && sameProcess ? BackendState::Gone : BackendState::Draining);
+    const BackendRecord record { beat.id, beat.bornMs, beat.service, beat.slots, state };
+    if (record == m_record) {
+        return HeartbeatEffect::Refreshed;
+    }
+    m_record = record;
+    return HeartbeatEffect::Changed;
+}
+
+bool BackendGate::onLeave(const std::string &id)
+{
+    if (m_record.id != id) {
+        return false;
+    }
+    m_leaving = true;
+    const bool changed = m_record.state != BackendState::Gone;
+    m_record.state = BackendState::Gone;
+    return changed;
+}
+
+bool BackendGate::onLost()
+{
+    if (m_record.state != BackendState::Ready) {
+        return false;
+    }
+    m_record.state = BackendState::Gone;
+    return true;
+}
+
+bool BackendGate::checkSilence(TimePoint now)
+{
+    return m_record.state == BackendState::Ready && now - m_heardAt > m_silenceLimit && onLost();
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/clustersync.h
@@ -0,0 +1,492 @@
+#pragma once
+
+#include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/vmdirectory.h>
+#include <carobjunction/version/routetable.h>
+
+#include "connection/datagramport.h"
+#include "connection/endpoints.h"
+#include "connection/peerclients.h"
+#include "process/eventlog.h"
+#include "process/gossipmessage.h"
+#include "process/tablestore.h"
+#include "process/vmrecordcodec.h"
+#include "process/vmsettings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace carobjunction
+{
+
+/**
+ * Keeps the routes and the directory of VMs up to date, and tells the other daemons of this VM.
+ *
+ * The store holds the routes and one row for each VM, which only its own daemon writes. Changes arrive by watching two tables.
+ * Datagrams between the daemons carry load, crashes and version numbers; a daemon that is behind, because the store does not serve
+ * it, fetches the state from the peer that is ahead. Versions only grow, so the source of a change makes no difference.
+ */
+template<typename Platform>
+class ClusterSync
+{
+public:
+    /** Table of the VM records. */
+    static constexpr const char *VmTable = "carobjunction-vms";
+    /** Longest wait of one watch of the store. Silent connections are noticed by keep-alive probes before. */
+    static constexpr Duration WatchTime = std::chrono::seconds(20);
+    static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
+    static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
+    /** Shortest time between two load reports to the daemons of the region. */
+    static constexpr Duration NearReportInterval = std::chrono::milliseconds(100);
+    /** Time between reports to all daemons. */
+    static constexpr Duration FarReportInterval = std::chrono::seconds(1);
+    /** Receivers of one report, chosen at random when there are more daemons. */
+    static constexpr size_t ReportFanout = 16;
+    /** Time for which the store is given to bring a change before a peer is asked for it. */
+    static constexpr Duration StoreHeadStart = std::chrono::milliseconds(500);
+    /** Age up to which crashes are reported again, as datagrams may be lost. */
+    static constexpr Duration CrashReportAge = std::chrono::seconds(8);
+    static constexpr size_t MaxCrashReports = 24;
+
+    ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes)
+        : m_loop(loop)
+        , m_settings(settings)
+        , m_directory(directory)
+        , m_crashes(crashes)
+        , m_store(loop, toEndpoint(settings.storeAddress).value())
+        , m_peers(loop)
+        , m_reportTimer(loop)
+        , m_writeTimer(loop)
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        m_record.daemon = settings.daemon;
+        m_record.incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+        m_record.revision = 1;
+        m_record.address = settings.peerAddress;
+        m_record.dataCentre = settings.dataCentre;
+        m_record.region = settings.region;
+        m_directory.merge(m_record);
+    }
+
+    /** @param report  gives the load of this VM's target */
+    void start(std::function<TargetReport()> report)
+    {
+        m_report = std::move(report);
+        const Tcp::endpoint address = toEndpoint(m_settings.peerAddress).value();
+        ErrorCode error;
+        m_datagrams = DatagramPort::open(
+            m_loop, Udp::endpoint(address.address(), address.port()), [this](std::string_view datagram) { onDatagram(datagram); }, error);
+        if (!m_datagrams) {
+            EventLog::write(LogLevel::Error, Event::PortUnavailable, { { "address", m_settings.peerAddress + "/udp" }, { "detail", error.message() } });
+        }
+        spawn(follow(Platform::ConfigTable));
+        spawn(follow(VmTable));
+        spawn(writeRecord());
+        spawn(sendReports());
+    }
+
+    std::shared_ptr<const RouteTable> routes() const
+    {
+        return m_routes;
+    }
+
+    PeerClients &peers()
+    {
+        return m_peers;
+    }
+
+    /** Takes the state of this VM's backend server and tells the others. */
+    void setBackend(const BackendRecord &backend)
+    {
+        m_record.backend = backend;
+        onRecordChanged();
+    }
+
+    /** Tells the others that this daemon is about to end. */
+    void announceStop()
+    {
+        m_record.stopping = true;
+        onRecordChanged();
+    }
+
+    /** Sends a report to all daemons at once. */
+    void reportNow()
+    {
+        m_isReportDue = true;
+        m_reportTimer.cancel();
+    }
+
+    /** @return routes and VM records as text, for a daemon that is behind */
+    std::string encodeState() const
+    {
+        nlohmann::json state { { "routes", m_routesText }, { "vms", nlohmann::json::array() } };
+        for (const auto &[daemon, vm] : m_directory.all()) {
+            state["vms"].push_back(VmRecordCodec::encode(vm.record));
+        }
+        return state.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    }
+
+private:
+    void spawn(Task<void> task)
+    {
+        asio::co_spawn(m_loop, std::move(task), asio::detached);
+    }
+
+    Task<void> pause(Duration time)
+    {
+        asio::steady_timer timer(m_loop, time);
+        ErrorCode ignored; // the timer is not cancelled
+        co_await timer.async_wait(into(ignored));
+    }
+
+    /** @return time to wait after a failure, so that daemons don't call again in step */
+    Duration backoff(Duration &next)
+    {
+        const Duration wait = next;
+        next = std::min<Duration>(next * 2, LongestBackoff);
+        return Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * std::uniform_real_distribution<double>(0.5, 1)(m_random)));
+    }
+
+    void onStoreFailure(const std::string &table)
+    {
+        const std::string reason(nameOf(LastReason<TableStoreError>::get()));
+        if (std::exchange(m_isStoreReachable, false)) {
+            EventLog::write(LogLevel::Warning, Event::StoreUnavailable, { { "table", table }, { "reason", reason } });
+        }
+    }
+
+    void onStoreAnswer()
+    {
+        if (!std::exchange(m_isStoreReachable, true)) {
+            EventLog::write(LogLevel::Info, Event::StoreRecovered, {});
+        }
+    }
+
+    /** Reads a table and then follows its changes. */
+    Task<void> follow(std::string table)
+    {
+        std::optional<uint64_t> version;
+        Duration nextBackoff = FirstBackoff;
+        while (true) {
+            std::optional<TableRows> rows;
+            if (version) {
+                rows = co_await m_store.watch(table, *version, WatchTime);
+            } else {
+                rows = co_await m_store.scan(table);
+            }
+            if (!rows) {
+                if (LastReason<TableStoreError>::get() == TableStoreError::HistoryLost) {
+                    version.reset();
+                    continue;
+                }
+                onStoreFailure(table);
+                co_await pause(backoff(nextBackoff));
+                continue;
+            }
+            onStoreAnswer();
+            nextBackoff = FirstBackoff;
+            if (!version) {
+                forgetMissing(table, *rows);
+            }
+            version = rows->version;
+            for (const TableRow &row : rows->rows) {
+                onRow(table, row);
+            }
+        }
+    }
+
+    /** After a full read, VMs without a row are gone: their removal may have been in the lost history. */
+    void forgetMissing(const std::string &table, const TableRows &rows)
+    {
+        if (table != VmTable) {
+            return;
+        }
+        std::set<std::string> present;
+        for (const TableRow &row : rows.rows) {
+            present.insert(row.key);
+        }
+        std::vector<VmRecord> missing;
+        for (const auto &[daemon, vm] : m_directory.all()) {
+            if (present.count(daemon) == 0 && !m_directory.isSelf(daemon)) {
+                missing.push_back(vm.record);
+            }
+        }
+        for (const VmRecord &record : missing) {
+            forgetVm(record.daemon, record.incarnation);
+        }
+    }
+
+    void forgetVm(const std::string &daemon, uint64_t incarnation)
+    {
+        const VmView *vm = m_directory.find(daemon);
+        const std::string address = vm == nullptr ? "" : vm->record.address;
+        if (m_directory.remove(daemon, incarnation)) {
+            m_peers.forget(address);
+            EventLog::write(LogLevel::Info, Event::MemberRemoved, { { "daemon", daemon } });
+        }
+    }
+
+    void onRow(const std::string &table, const TableRow &row)
+    {
+        if (table != VmTable) {
+            if (row.key == Platform::ConfigKey && !row.isDeleted) {
+                takeRoutes(row.value, "store");
+            }
+            return;
+        }
+        if (row.isDeleted) {
+            if (const VmView *vm = m_directory.find(row.key); vm != nullptr && !m_directory.isSelf(row.key)) {
+                forgetVm(row.key, vm->record.incarnation);
+            }
+            return;
+        }
+        const auto record = VmRecordCodec::decode(row.value);
+        if (!record || record->daemon != row.key) {
+            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", table }, { "key", row.key }, { "reason", "unreadable row" } });
+            return;
+        }
+        if (m_directory.isSelf(row.key)) {
+            m_rowVersion = row.version;
+            outliveFormerIncarnation(*record);
+            return;
+        }
+        takeVm(*record, "store");
+    }
+
+    /** The clock may have gone back since the former start of this daemon. */
+    void outliveFormerIncarnation(const VmRecord &stored)
+    {
+        if (stored.incarnation > m_record.incarnation) {
+            m_record.incarnation = stored.incarnation + 1;
+            onRecordChanged();
+        }
+    }
+
+    void takeVm(const VmRecord &record, const char *source)
+    {
+        if (m_directory.merge(record)) {
+            EventLog::write(LogLevel::Info,
+                            Event::MemberChanged,
+                            { { "daemon", record.daemon },
+                              { "incarnation", std::to_string(record.incarnation) },
+                              { "revision", std::to_string(record.revision) },
+                              { "backend", record.backend.id },
+                              { "service", record.backend.service },
+                              { "state", std::string(nameOf(record.backend.state)) },
+                              { "stopping", record.stopping ? "yes" : "no" },
+                              { "source", source } });
+        }
+    }
+
+    void takeRoutes(const std::string &text, const char *source)
+    {
+        const auto decoded = Platform::decodeRoutes(text);
+        if (!decoded.table) {
+            EventLog::write(LogLevel::Error, Event::ConfigRejected, { { "source", source }, { "reason", decoded.fault } });
+            return;
+        }
+        if (m_routes && decoded.table->version() <= m_routes->version()) {
+            return;
+        }
+        m_routes = decoded.table;
+        m_routesText = text;
+        EventLog::write(LogLevel::Info,
+                        Event::ConfigInForce,
+                        { { "version", std::to_string(m_routes->version()) }, { "routes", std::to_string(m_routes->routes().size()) }, { "source", source } });
+    }
+
+    void onRecordChanged()
+    {
+        ++m_record.revision;
+        m_directory.merge(m_record);
+        m_isRecordDue = true;
+        m_writeTimer.cancel();
+        reportNow();
+    }
+
+    /** Writes the record of this VM whenever it changes, until the store has it. */
+    Task<void> writeRecord()
+    {
+        Duration nextBackoff = FirstBackoff;
+        while (true) {
+            if (!m_isRecordDue) {
+                m_writeTimer.expires_at(TimePoint::max());
+                ErrorCode ignored; // the timer is cancelled when a write is due
+                co_await m_writeTimer.async_wait(into(ignored));
+                continue;
+            }
+            m_isRecordDue = false;
+            const auto result = co_await m_store.commit(recordChange());
+            if (result && result->isApplied) {
+                onStoreAnswer();
+                m_rowVersion = std::max(m_rowVersion, result->version);
+                nextBackoff = FirstBackoff;
+                continue;
+            }
+            m_isRecordDue = true;
+            if (result) {
+                takeCurrentRow(*result);
+            } else {
+                onStoreFailure(VmTable);
+            }
+            co_await pause(backoff(nextBackoff));
+        }
+    }
+
+    /** @return the write of this VM's record. Its condition keeps a delayed write, whose answer was lost, from replacing a later one. */
+    TableChange recordChange() const
+    {
+        TableChange change;
+        change.conditions.push_back({ VmTable, m_record.daemon, "", m_rowVersion });
+        change.puts.push_back({ VmTable, m_record.daemon, VmRecordCodec::encode(m_record) });
+        return change;
+    }
+
+    void takeCurrentRow(const ChangeResult &result)
+    {
+        m_rowVersion = 0;
+        for (const TableRow &row : result.current) {
+            m_rowVersion = row.version;
+            if (const auto stored = VmRecordCodec::decode(row.value)) {
+                outliveFormerIncarnation(*stored);
+            }
+        }
+    }
+
+    GossipMessage message(TimePoint now) const
+    {
+        return { m_record.daemon,
+                 m_record.incarnation,
+                 m_record.revision,
+                 m_record.address,
+                 m_routes ? m_routes->version() : 0,
+                 m_report(),
+                 m_crashes.recent(now - CrashReportAge, MaxCrashReports) };
+    }
+
+    Task<void> sendReports()
+    {
+        TimePoint lastFar;
+        TargetReport lastSent;
+        while (true) {
+            m_reportTimer.expires_after(NearReportInterval);
+            ErrorCode ignored; // the timer is cancelled when a report is due at once
+            co_await m_reportTimer.async_wait(into(ignored));
+            const TimePoint now = SteadyClock().now();
+            const bool isFar = std::exchange(m_isReportDue, false) || now - lastFar >= FarReportInterval;
+            const TargetReport report = m_report();
+            if (!isFar && !differs(report, lastSent)) {
+                continue;
+            }
+            lastSent = report;
+            lastFar = isFar ? now : lastFar;
+            send(message(now), isFar);
+        }
+    }
+
+    static bool differs(const TargetReport &a, const TargetReport &b)
+    {
+        constexpr int LoadStep = 2; // smaller changes are not worth a datagram
+        const int change = static_cast<int>(a.running + a.waiting) - static_cast<int>(b.running + b.waiting);
+        return std::abs(change) >= LoadStep || a.limit != b.limit;
+    }
+
+    void send(const GossipMessage &message, bool isFar)
+    {
+        if (!m_datagrams) {
+            return;
+        }
+        std::vector<Udp::endpoint> receivers;
+        for (const auto &[daemon, vm] : m_directory.all()) {
+            const auto endpoint = toEndpoint(vm.record.address);
+            if (endpoint && !m_directory.isSelf(daemon) && (isFar || m_directory.isSameRegion(vm.record))) {
+                receivers.emplace_back(endpoint->address(), endpoint->port());
+            }
+        }
+        std::shuffle(receivers.begin(), receivers.end(), m_random);
+        receivers.resize(std::min(receivers.size(), ReportFanout));
+        const std::string datagram = message.encode();
+        for (const Udp::endpoint &receiver : receivers) {
+            m_datagrams->send(receiver, datagram);
+        }
+    }
+
+    void onDatagram(std::string_view datagram)
+    {
+        const auto message = GossipMessage::decode(datagram);
+        if (!message || m_directory.isSelf(message->daemon)) {
+            return;
+        }
+        const TimePoint now = SteadyClock().now();
+        m_directory.onAlive(message->daemon);
+        m_directory.onReport(message->daemon, message->report, now);
+        for (const CrashReport &crash : message->crashes) {
+            m_crashes.add(crash, now);
+        }
+        const VmView *vm = m_directory.find(message->daemon);
+        const bool isBehind = vm == nullptr || vm->record.incarnation < message->incarnation
+            || (vm->record.incarnation == message->incarnation && vm->record.revision < message->revision)
+            || message->configVersion > (m_routes ? m_routes->version() : 0);
+        if (isBehind && !std::exchange(m_isFetching, true)) {
+            spawn(fetchState(*message));
+        }
+    }
+
+    /** Fetches from a peer what the store has not brought. */
+    Task<void> fetchState(GossipMessage ahead)
+    {
+        co_await pause(StoreHeadStart);
+        const VmView *vm = m_directory.find(ahead.daemon);
+        const bool hasRecord = vm != nullptr && vm->record.incarnation >= ahead.incarnation && vm->record.revision >= ahead.revision;
+        if (!hasRecord || ahead.configVersion > (m_routes ? m_routes->version() : 0)) {
+            if (const auto state = co_await m_peers.fetchState(ahead.peerAddress)) {
+                takeState(*state);
+            }
+        }
+        m_isFetching = false;
+    }
+
+    void takeState(const std::string &text)
+    {
+        try {
+            const nlohmann::json state = nlohmann::json::parse(text);
+            for (const nlohmann::json &item : state.at("vms")) {
+                const auto record = VmRecordCodec::decode(item.get<std::string>());
+                if (record && !m_directory.isSelf(record->daemon)) {
+                    takeVm(*record, "peer");
+                }
+            }
+            const std::string routes = state.at("routes").get<std::string>();
+            if (!routes.empty()) {
+                takeRoutes(routes, "peer");
+            }
+        } catch (const nlohmann::json::exception &error) {
+            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "source", "peer" }, { "reason", error.what() } });
+        }
+    }
+
+    asio::io_context &m_loop;
+    const VmSettings &m_settings;
+    VmDirectory &m_directory;
+    CrashHistory &m_crashes;
+    TableStore<typename Platform::Dialect> m_store;
+    PeerClients m_peers;
+    std::shared_ptr<DatagramPort> m_datagrams;
+    std::function<TargetReport()> m_report;
+    VmRecord m_record;
+    uint64_t m_rowVersion = 0;
+    bool m_isRecordDue = true;
+    bool m_isReportDue = false;
+    bool m_isFetching = false;
+    bool m_isStoreReachable = true;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::string m_routesText;
+    asio::steady_timer m_reportTimer;
+    asio::steady_timer m_writeTimer;
+    std::minstd_rand m_random { std::random_device {}() };
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/crashhistory.cpp
@@ -0,0 +1,50 @@
+#include <carobjunction/process/crashhistory.h>
+
+#include <algorithm>
+
+namespace carobjunction
+{
+
+bool CrashHistory::add(const CrashReport &report, TimePoint now)
+{
+    prune(now);
+    Entry &entry = m_entries[report.fingerprint];
+    entry.changedAt = now;
+    return entry.crashes.emplace(report.backend, now).second;
+}
+
+bool CrashHistory::isCondemned(uint64_t fingerprint) const
+{
+    const auto found = m_entries.find(fingerprint);
+    return found != m_entries.end() && found->second.crashes.size() >= CondemningCrashes;
+}
+
+std::vector<CrashReport> CrashHistory::recent(TimePoint since, size_t limit) const
+{
+    std::vector<std::pair<TimePoint, CrashReport>> found;
+    for (const auto &[fingerprint, entry] : m_entries) {
+        for (const auto &[backend, at] : entry.crashes) {
+            if (at >= since) {
+                found.emplace_back(at, CrashReport { fingerprint, backend });
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    const size_t skipped = found.size() > limit ? found.size() - limit : 0;
+    std::vector<CrashReport> reports;
+    for (size_t i = skipped; i < found.size(); ++i) {
+        reports.push_back(found[i].second);
+    }
+    return reports;
+}
+
+void CrashHistory::prune(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto &item) { return now - item.second.changedAt > Retention; });
+    while (m_entries.size() >= MaxFingerprints) {
+        m_entries.erase(
+            std::min_element(m_entries.begin(), m_entries.end(), [](const auto &a, const auto &b) { return a.second.changedAt < b.second.changedAt; }));
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/slotqueue.cpp
@@ -0,0 +1,137 @@
+#include <carobjunction/process/slotqueue.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr double MeanWeight = 0.1; // weight of a new observation in the mean
+
+bool isLate(const SlotRequest &request, TimePoint now)
+{
+    return now + request.work > request.aimAt;
+}
+
+auto rank(const SlotRequest &request, TimePoint now)
+{
+    return std::tuple(isLate(request, now), request.priority, request.aimAt);
+}
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+Duration SlotQueue::predictedWait(size_t ahead) const
+{
+    if (m_running < m_limit) {
+        return Duration::zero();
+    }
+    return scaled(m_meanWork, (static_cast<double>(ahead) + 0.5) / static_cast<double>(std::max<uint32_t>(m_limit, 1)));
+}
+
+size_t SlotQueue::countAhead(const SlotRequest &request, TimePoint now) const
+{
+    return static_cast<size_t>(
+        std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &other) { return rank(other.request, now) <= rank(request, now); }));
+}
+
+SlotQueue::Decision SlotQueue::offer(const SlotRequest &request, TimePoint now, Waiter waiter)
+{
+    Decision decision;
+    const Duration wait = predictedWait(countAhead(request, now));
+    decision.retryAfter = std::max<Duration>(predictedWait(m_waiting.size()), std::chrono::milliseconds(50));
+    if (request.deadlineAt <= now || wait + request.work > scaled(request.deadlineAt - now, DeadlineMargin)) {
+        decision.reason = Reason::DeadlineTooShort;
+        return decision;
+    }
+    if (m_running < m_limit) {
+        ++m_running;
+        decision.isGranted = true;
+        return decision;
+    }
+    if (!request.mayQueue) {
+        decision.reason = Reason::Full;
+        return decision;
+    }
+    if (now + wait + request.work > request.aimAt) {
+        const auto late = std::count_if(m_waiting.begin(), m_waiting.end(), [now](const Waiting &other) { return isLate(other.request, now); });
+        if (static_cast<double>(late) >= LateShare * m_limit) {
+            decision.reason = Reason::Full;
+            return decision;
+        }
+    }
+    decision.ticket = ++m_lastTicket;
+    m_waiting.push_back({ m_lastTicket, request, std::move(waiter) });
+    return decision;
+}
+
+void SlotQueue::release(TimePoint now)
+{
+    --m_running;
+    grantNext(now);
+}
+
+void SlotQueue::grantNext(TimePoint now)
+{
+    expire(now);
+    while (m_running < m_limit && !m_waiting.empty()) {
+        const Iterator next = best(now);
+        const Waiter waiter = std::move(next->waiter);
+        m_waiting.erase(next);
+        ++m_running;
+        waiter(SlotEnd::Granted);
+    }
+}
+
+SlotQueue::Iterator SlotQueue::best(TimePoint now)
+{
+    return std::min_element(
+        m_waiting.begin(), m_waiting.end(), [now](const Waiting &a, const Waiting &b) { return rank(a.request, now) < rank(b.request, now); });
+}
+
+void SlotQueue::withdraw(Ticket ticket)
+{
+    m_waiting.remove_if([ticket](const Waiting &waiting) { return waiting.ticket == ticket; });
+}
+
+void SlotQueue::expire(TimePoint now)
+{
+    std::list<Waiting> expired;
+    for (Iterator it = m_waiting.begin(); it != m_waiting.end();) {
+        const Iterator current = it++;
+        if (now + current->request.work > current->request.deadlineAt) {
+            expired.splice(expired.end(), m_waiting, current);
+        }
+    }
+    for (const Waiting &waiting : expired) {
+        waiting.waiter(SlotEnd::Expired);
+    }
+}
+
+void SlotQueue::closeAll()
+{
+    std::list<Waiting> closed;
+    closed.swap(m_waiting);
+    for (const Waiting &waiting : closed) {
+        waiting.waiter(SlotEnd::Closed);
+    }
+}
+
+SlotUse SlotQueue::use() const
+{
+    return { m_running, static_cast<uint32_t>(m_waiting.size()), m_limit, predictedWait(m_waiting.size()) };
+}
+
+void SlotQueue::observeWork(Duration work)
+{
+    m_meanWork += scaled(work - m_meanWork, MeanWeight);
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/targetservice.cpp
@@ -0,0 +1,311 @@
+#include "process/targetservice.h"
+
+#include "connection/messagefields.h"
+#include "process/suspension.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto SuspensionLimit = std::chrono::milliseconds(250); // after a longer suspension, the entry may have given up
+constexpr auto CloseMargin = std::chrono::milliseconds(20); // time for the backend server's own answer at its deadline
+
+/** @return the numbers of a comma-separated list; stops at the first that can't be read */
+std::vector<uint32_t> readNumbers(std::string_view text)
+{
+    std::vector<uint32_t> numbers;
+    while (!text.empty()) {
+        uint32_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc()) {
+            break;
+        }
+        numbers.push_back(number);
+        text.remove_prefix(static_cast<size_t>(end - text.data()));
+        if (!text.empty() && text.front() == ',') {
+            text.remove_prefix(1);
+        }
+    }
+    return numbers;
+}
+
+int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+TargetService::TargetService(asio::io_context &loop,
+                             const Tcp::endpoint &backend,
+                             const ServedHeaders &headers,
+                             Duration silenceLimit,
+                             CrashHistory &crashes,
+                             WorkEstimates &work,
+                             TargetHooks hooks)
+    : m_loop(loop)
+    , m_backend(std::make_shared<HttpClientPool>(loop, backend, PoolLimits {}))
+    , m_headers(headers)
+    , m_crashes(crashes)
+    , m_work(work)
+    , m_hooks(std::move(hooks))
+    , m_gate(silenceLimit)
+{
+}
+
+HeartbeatEffect TargetService::onHeartbeat(const Heartbeat &beat)
+{
+    const HeartbeatEffect effect = m_gate.onHeartbeat(beat, SteadyClock().now());
+    if (effect == HeartbeatEffect::Changed) {
+        const auto limit = static_cast<uint32_t>(std::floor(beat.slots * UsedSlotShare + 0.001));
+        m_slots.setLimit(std::max<uint32_t>(limit, 1));
+        onRecordChanged();
+    }
+    return effect;
+}
+
+void TargetService::onLeave(const std::string &id)
+{
+    if (m_gate.onLeave(id)) {
+        onRecordChanged();
+    }
+}
+
+void TargetService::onRecordChanged()
+{
+    const BackendRecord &record = m_gate.record();
+    const Event event = record.state == BackendState::Ready ? Event::TargetAnnounced
+        : record.state == BackendState::Draining            ? Event::TargetLeaving
+                                                            : Event::TargetDown;
+    EventLog::write(LogLevel::Info, event, { { "backend", record.id }, { "service", record.service }, { "state", std::string(nameOf(record.state)) } });
+    if (!m_gate.isOpen()) {
+        m_slots.closeAll();
+        m_backend->closeIdle();
+    }
+    m_hooks.onRecordChanged();
+}
+
+void TargetService::stopAdmission()
+{
+    m_isStopping = true;
+    m_slots.closeAll();
+}
+
+void TargetService::checkTimes()
+{
+    const TimePoint now = SteadyClock().now();
+    m_slots.expire(now);
+    if (m_gate.checkSilence(now)) {
+        onRecordChanged();
+    }
+}
+
+TargetReport TargetService::report() const
+{
+    const SlotUse use = m_slots.use();
+    return { use.running, use.waiting, use.limit, m_slowness, m_gate.isCold(SteadyClock().now()) };
+}
+
+std::optional<Reason> TargetService::reasonToRefuse(const ForwardRequest &request) const
+{
+    const BackendRecord &record = m_gate.record();
+    if (m_isStopping || record.state == BackendState::Draining) {
+        return Reason::Leaving;
+    }
+    if (!m_gate.isOpen()) {
+        return Reason::TargetDown;
+    }
+    if (record.service != request.service) {
+        return Reason::WrongService;
+    }
+    if (record.id != request.backend) {
+        return Reason::StaleIncarnation;
+    }
+    if (m_crashes.isCondemned(request.fingerprint)) {
+        return Reason::Condemned;
+    }
+    return std::nullopt;
+}
+
+Task<std::optional<ForwardResult>> TargetService::waitForSlot(const ForwardRequest &request, CancellationPtr cancellation)
+{
+    const auto end = std::make_shared<std::optional<SlotEnd>>();
+    const auto timer = std::make_shared<asio::steady_timer>(m_loop, request.deadlineAt);
+    const SlotRequest wanted { request.priority, request.aimAt, request.deadlineAt, std::max(request.work, m_work.estimate(request.route)), request.mayQueue };
+    const SlotQueue::Decision decision = m_slots.offer(wanted, SteadyClock().now(), [end, timer](SlotEnd how) {
+        *end = how;
+        timer->cancel();
+    });
+    if (decision.isGranted) {
+        co_return std::nullopt;
+    }
+    if (!decision.ticket) {
+        co_return ForwardResult::notRun(decision.reason, decision.retryAfter);
+    }
+    const Cancellation::Registration registration(*cancellation, [timer] { timer->cancel(); });
+    ErrorCode ignored; // the timer is cancelled when the wait ends early
+    co_await timer->async_wait(into(ignored));
+    if (*end == SlotEnd::Granted) {
+        co_return std::nullopt;
+    }
+    m_slots.withdraw(*decision.ticket);
+    if (*end == SlotEnd::Closed) {
+        co_return ForwardResult::notRun(Reason::Leaving);
+    }
+    co_return ForwardResult::notRun(cancellation->isRequested() ? Reason::Cancelled : Reason::DeadlineTooShort, decision.retryAfter);
+}
+
+Task<ForwardResult> TargetService::run(ForwardRequest request, CancellationPtr cancellation)
+{
+    if (const auto reason = reasonToRefuse(request)) {
+        co_return ForwardResult::notRun(*reason);
+    }
+    const SuspensionMeter suspension;
+    if (auto refused = co_await waitForSlot(request, cancellation)) {
+        co_return std::move(*refused);
+    }
+    ForwardResult result;
+    const auto reason = reasonToRefuse(request);
+    if (cancellation->isRequested()) {
+        result = ForwardResult::notRun(Reason::Cancelled);
+    } else if (reason) {
+        result = ForwardResult::notRun(*reason);
+    } else if (suspension.elapsed() > SuspensionLimit || SteadyClock().now() >= request.deadlineAt) {
+        result = ForwardResult::notRun(Reason::DeadlineExceeded);
+    } else {
+        result = co_await dispatch(std::move(request), cancellation);
+    }
+    m_slots.release(SteadyClock().now());
+    co_return result;
+}
+
+HttpRequest TargetService::toBackendMessage(ForwardRequest &request) const
+{
+    HttpRequest message = std::move(request.message);
+    message.set(m_headers.deadline, std::to_string(std::max<int64_t>(toMs(request.deadlineAt - SteadyClock().now()), 1)));
+    message.set(m_headers.expectedBackend, request.backend);
+    message.set(m_headers.callerService, request.callerService);
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+Task<ForwardResult> TargetService::dispatch(ForwardRequest request, CancellationPtr cancellation)
+{
+    const uint64_t run = ++m_lastRun;
+    m_inFlight.emplace(run, InFlight { request.fingerprint });
+    const TimePoint start = SteadyClock().now();
+    ExchangeOptions options;
+    options.deadline = request.deadlineAt + CloseMargin;
+    options.connectTimeout = ConnectTimeout;
+    options.belongs = [this, id = request.requestId](const HttpResponse &response) {
+        return !hasField(response, m_headers.requestId) || fieldText(response, m_headers.requestId) == id;
+    };
+    ExchangeResult exchange = co_await m_backend->exchange(toBackendMessage(request), std::move(options), cancellation);
+    const ExchangeEnd end = exchange.end;
+    ForwardResult result = classify(request, std::move(exchange));
+    result.serviceTime = SteadyClock().now() - start;
+    if (result.outcome == Outcome::Ran) {
+        m_slots.observeWork(result.serviceTime);
+        m_work.observe(request.route, result.serviceTime);
+    }
+    if (end == ExchangeEnd::NotSent) {
+        m_inFlight.erase(run); // it was not running, so it has no part in a crash
+    }
+    if (end == ExchangeEnd::Lost || end == ExchangeEnd::NotSent) {
+        co_await checkForCrash();
+    }
+    m_inFlight.erase(run);
+    co_return result;
+}
+
+ForwardResult TargetService::classify(const ForwardRequest &request, ExchangeResult exchange)
+{
+    switch (exchange.end) {
+    case ExchangeEnd::Answered:
+        return classifyAnswer(request, std::move(exchange.response));
+    case ExchangeEnd::NotSent: {
+        ForwardResult result = ForwardResult::notRun(Reason::TargetDown);
+        result.detail = std::move(exchange.detail);
+        return result;
+    }
+    case ExchangeEnd::TimedOut:
+        return ForwardResult::unknown(Reason::DeadlineExceeded, std::move(exchange.detail));
+    case ExchangeEnd::Cancelled:
+        return ForwardResult::unknown(Reason::Cancelled, std::move(exchange.detail));
+    case ExchangeEnd::Lost:
+        break;
+    }
+    return ForwardResult::unknown(Reason::AnswerLost, std::move(exchange.detail));
+}
+
+ForwardResult TargetService::classifyAnswer(const ForwardRequest &request, HttpResponse response)
+{
+    readLoad(response);
+    const auto status = response.result();
+    if (status == http::status::misdirected_request) {
+        EventLog::write(LogLevel::Warning,
+                        Event::TargetDown,
+                        { { "backend", request.backend }, { "request", request.requestId }, { "reason", "another-backend-at-the-address" } });
+        if (m_gate.onLost()) {
+            onRecordChanged();
+        }
+        ForwardResult result = ForwardResult::notRun(Reason::StaleIncarnation);
+        result.reachedBackend = true;
+        return result;
+    }
+    if (hasField(response, m_headers.notExecuted)) {
+        ForwardResult result = ForwardResult::notRun(Reason::Shed);
+        result.reachedBackend = true;
+        return result;
+    }
+    const bool isSuccess = http::to_status_class(status) == http::status_class::successful;
+    const bool isOwn = hasField(response, m_headers.seal) && fieldText(response, m_headers.requestId) == request.requestId;
+    if ((isSuccess && !isOwn) || response.find(http::field::content_encoding) != response.end()) {
+        EventLog::write(LogLevel::Warning, Event::AnswerDiscarded, { { "request", request.requestId }, { "status", std::to_string(response.result_int()) } });
+        return ForwardResult::unknown(Reason::AnswerLost, "answer without the backend server's seal");
+    }
+    ForwardResult result;
+    result.outcome = Outcome::Ran;
+    result.reachedBackend = true;
+    removeConnectionFields(response);
+    result.response = std::move(response);
+    return result;
+}
+
+void TargetService::readLoad(const HttpResponse &response)
+{
+    constexpr size_t SlownessIndex = 3;
+    constexpr double Percent = 100;
+    const std::vector<uint32_t> numbers = readNumbers(fieldText(response, m_headers.load));
+    if (numbers.size() > SlownessIndex) {
+        m_slowness = std::max(numbers[SlownessIndex] / Percent, 0.1);
+    }
+}
+
+/** A backend server that refuses connections after it lost a request has ended while it ran what was in flight. */
+Task<void> TargetService::checkForCrash()
+{
+    Tcp::socket socket(m_loop);
+    ErrorCode error;
+    co_await socket.async_connect(m_backend->server(), into(error));
+    if (error != asio::error::connection_refused) {
+        co_return;
+    }
+    const BackendRecord record = m_gate.record();
+    const std::string process = record.id + "@" + std::to_string(record.bornMs);
+    for (const auto &[run, request] : m_inFlight) {
+        m_hooks.onCrash({ request.fingerprint, process });
+    }
+    if (m_gate.onLost()) {
+        onRecordChanged();
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/targetservice.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <carobjunction/process/backendgate.h>
+#include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/slotqueue.h>
+
+#include "connection/httpclientpool.h"
+#include "process/eventlog.h"
+#include "process/workestimates.h"
+#include "request/forwarding.h"
+#include "request/servedheaders.h"
+
+#include <functional>
+#include <memory>
+
+namespace carobjunction
+{
+
+/** What the daemon beside a target tells the rest of the process. */
+struct TargetHooks {
+    std::function<void()> onRecordChanged; /**< The backend server's record is another. */
+    std::function<void(const CrashReport &)> onCrash; /**< The backend server ended while it ran a request. */
+};
+
+/**
+ * Runs requests on the backend server beside this daemon: admission, dispatch and the classification of answers.
+ * Used on one event loop; not thread-safe.
+ */
+class TargetService
+{
+public:
+    /** Part of the slots that is used. Backend servers slow down when they are nearly full. */
+    static constexpr double UsedSlotShare = 0.8;
+
+    /**
+     * @param crashes  outlives this object
+     * @param work  outlives this object
+     */
+    TargetService(asio::io_context &loop,
+                  const Tcp::endpoint &backend,
+                  const ServedHeaders &headers,
+                  Duration silenceLimit,
+                  CrashHistory &crashes,
+                  WorkEstimates &work,
+                  TargetHooks hooks);
+
+    Task<ForwardResult> run(ForwardRequest request, CancellationPtr cancellation);
+
+    HeartbeatEffect onHeartbeat(const Heartbeat &beat);
+    void onLeave(const std::string &id);
+
+    /** The daemon is about to end: work in progress goes on, new work is refused. */
+    void stopAdmission();
+
+    /** Ends waits that have become useless, and notices a silent backend server. To be called several times a second. */
+    void checkTimes();
+
+    TargetReport report() const;
+
+    const BackendRecord &record() const
+    {
+        return m_gate.record();
+    }
+
+private:
+    /** A request that is at the backend server. */
+    struct InFlight {
+        uint64_t fingerprint = 0;
+    };
+
+    std::optional<Reason> reasonToRefuse(const ForwardRequest &request) const;
+    Task<std::optional<ForwardResult>> waitForSlot(const ForwardRequest &request, CancellationPtr cancellation);
+    Task<ForwardResult> dispatch(ForwardRequest request, CancellationPtr cancellation);
+    HttpRequest toBackendMessage(ForwardRequest &request) const;
+    ForwardResult classify(const ForwardRequest &request, ExchangeResult exchange);
+    ForwardResult classifyAnswer(const ForwardRequest &request, HttpResponse response);
+    Task<void> checkForCrash();
+    void onRecordChanged();
+    void readLoad(const HttpResponse &response);
+
+    asio::io_context &m_loop;
+    std::shared_ptr<HttpClientPool> m_backend;
+    const ServedHeaders &m_headers;
+    CrashHistory &m_crashes;
+    WorkEstimates &m_work;
+    TargetHooks m_hooks;
+    BackendGate m_gate;
+    SlotQueue m_slots;
+    std::map<uint64_t, InFlight> m_inFlight;
+    uint64_t m_lastRun = 0;
+    double m_slowness = 1;
+    bool m_isStopping = false;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/vmdaemon.h
@@ -0,0 +1,318 @@
+#pragma once
+
+#include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/retryledger.h>
+#include <carobjunction/process/vmdirectory.h>
+
+#include "connection/datagramport.h"
+#include "connection/endpoints.h"
+#include "connection/httplistener.h"
+#include "connection/messagefields.h"
+#include "connection/peercodec.h"
+#include "process/clustersync.h"
+#include "process/targetservice.h"
+#include "process/vmsettings.h"
+#include "request/requestrouter.h"
+
+#include <memory>
+
+namespace carobjunction
+{
+
+/**
+ * What the daemon needs of a platform's adapter: header names, the place and form of the routes, the calls of a backend server
+ * and the dialect of the store. An adapter translates; it decides nothing and keeps nothing.
+ */
+template<typename T>
+concept PlatformTranslation = TableDialect<typename T::Dialect> && requires(const HttpRequest &message, std::string_view text)
+{
+    T::headers();
+    T::decodeRoutes(text);
+    T::decodeControlCall(message);
+    {
+        T::isReadinessCheck(message)
+        } -> std::same_as<bool>;
+};
+
+/**
+ * The daemon beside one backend server: puts the parts together and owns them. One event loop serves all ports, since a VM gives
+ * the daemon a fraction of one core.
+ */
+template<PlatformTranslation Platform>
+class VmDaemon
+{
+public:
+    /** Interval at which waits are checked and load is reported. */
+    static constexpr Duration TickInterval = std::chrono::milliseconds(50);
+    /** Heartbeats that a backend server may miss. */
+    static constexpr int MissedHeartbeats = 3;
+    /** Part of the grace period after which the process ends, with requests in progress or not. */
+    static constexpr double GraceShare = 0.9;
+    /** Time after a stop for which callers that have not noticed it are served. */
+    static constexpr Duration StopLinger = std::chrono::milliseconds(3000);
+
+    VmDaemon(asio::io_context &loop, VmSettings settings)
+        : m_loop(loop)
+        , m_settings(std::move(settings))
+        , m_directory(m_settings.daemon, Place { m_settings.dataCentre, m_settings.region })
+        , m_ledger(RetryAllowance { m_settings.retryRatio, static_cast<double>(m_settings.retrySlack), m_settings.retryWindow })
+        , m_target(loop,
+                   toEndpoint(m_settings.backendAddress).value(),
+                   Platform::headers(),
+                   m_settings.heartbeatInterval * MissedHeartbeats,
+                   m_crashes,
+                   m_work,
+                   TargetHooks { [this] { onTargetChanged(); },
+                                 [this](const CrashReport &report) {
+                                     onCrash(report);
+                                 } })
+        , m_sync(loop, m_settings, m_directory, m_crashes)
+        , m_router(RouterEnvironment { [this] { return m_sync.routes(); },
+                                       [this](std::string daemon, ForwardRequest request, CancellationPtr cancellation) {
+                                           return forward(std::move(daemon), std::move(request), std::move(cancellation));
+                                       },
+                                       m_settings.service },
+                   Platform::headers(),
+                   m_directory,
+                   m_ledger,
+                   m_crashes,
+                   m_work)
+        , m_tick(loop)
+    {
+    }
+
+    /** Opens the ports. @return whether all could be opened; the log says which could not */
+    bool start()
+    {
+        const bool isOpen = listen(m_callerPort, m_settings.callerAddress, &VmDaemon::handleCaller)
+            && listen(m_peerPort, m_settings.peerAddress, &VmDaemon::handlePeer) && listen(m_readyPort, m_settings.readyAddress, &VmDaemon::handleReadiness)
+            && listen(m_operatorPort, m_settings.operatorAddress, &VmDaemon::handleControl);
+        if (!isOpen) {
+            return false;
+        }
+        m_sync.start([this] { return m_target.report(); });
+        scheduleTick();
+        EventLog::write(LogLevel::Info, Event::DaemonStarted, { { "daemon", m_settings.daemon }, { "peerAddress", m_settings.peerAddress } });
+        return true;
+    }
+
+    /** Takes changed settings that can change while the process runs. */
+    void reload(const VmSettings &settings)
+    {
+        m_ledger.setAllowance(RetryAllowance { settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow });
+        m_settings.gracePeriod = settings.gracePeriod;
+        m_settings.logLevel = settings.logLevel;
+        EventLog::initialise(settings.logLevel);
+    }
+
+    /** Starts the graceful end: not ready any more, requests in progress finish. The loop stops when it is complete. */
+    void stop()
+    {
+        if (m_stoppedAt) {
+            return;
+        }
+        m_stoppedAt = SteadyClock().now();
+        EventLog::write(LogLevel::Info, Event::DaemonStopping, { { "active", std::to_string(activeRequests()) } });
+        m_callerPort->announceClose();
+        m_target.stopAdmission();
+        m_sync.announceStop();
+    }
+
+private:
+    using Handler = Task<MaybeResponse> (VmDaemon::*)(HttpRequest, CancellationPtr);
+
+    bool listen(std::shared_ptr<HttpListener> &port, const std::string &address, Handler handler)
+    {
+        ErrorCode error;
+        port = HttpListener::open(
+            m_loop,
+            toEndpoint(address).value(),
+            [this, handler](HttpRequest request, CancellationPtr cancellation) { return (this->*handler)(std::move(request), std::move(cancellation)); },
+            [this, isCaller = handler == &VmDaemon::handleCaller] { return listenerLimits(isCaller); },
+            error);
+        if (!port) {
+            EventLog::write(LogLevel::Error, Event::PortUnavailable, { { "address", address }, { "detail", error.message() } });
+        }
+        return port != nullptr;
+    }
+
+    ListenerLimits listenerLimits(bool isCaller) const
+    {
+        constexpr double DescriptorShare = 0.5; // the other half is for peers and the backend server
+        constexpr uint32_t MegaBytes = 1U << 20U;
+        constexpr uint32_t MemoryPart = 4; // largest message, as a part of the memory
+        ListenerLimits limits;
+        limits.connections = static_cast<size_t>(m_settings.maxDescriptors * DescriptorShare);
+        limits.bodyBytes = uint64_t { m_settings.memoryMb } * MegaBytes / MemoryPart;
+        const auto routes = m_sync.routes();
+        if (isCaller && routes) {
+            limits.headerBytes = routes->limits().headerBytes;
+            limits.bodyBytes = std::min(limits.bodyBytes, routes->limits().bodyBytes);
+            limits.headerTimeout = routes->limits().headerTimeout;
+            limits.idleTimeout = routes->limits().idleTimeout;
+        }
+        return limits;
+    }
+
+    Task<MaybeResponse> handleCaller(HttpRequest message, CancellationPtr cancellation)
+    {
+        return m_router.handle(std::move(message), std::move(cancellation));
+    }
+
+    Task<MaybeResponse> handlePeer(HttpRequest message, CancellationPtr cancellation)
+    {
+        if (std::string_view(message.target().data(), message.target().size()) == PeerCodec::StatePath) {
+            HttpResponse state(http::status::ok, 11);
+            state.body() = m_sync.encodeState();
+            state.prepare_payload();
+            co_return state;
+        }
+        const std::string id = fieldText(message, Platform::headers().requestId);
+        auto request = PeerCodec::decode(std::move(message), SteadyClock().now());
+        if (!request) {
+            EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "request", id }, { "reason", "unreadable forwarded request" } });
+            co_return ownAnswer(http::status::bad_request, "the forwarded request can't be read");
+        }
+        const std::string route = request->route;
+        ForwardResult result = co_await m_target.run(std::move(*request), cancellation);
+        if (result.outcome == Outcome::NotRun) {
+            EventLog::write(LogLevel::Info,
+                            Event::AdmissionDecided,
+                            { { "request", id }, { "route", route }, { "outcome", "not-run" }, { "reason", std::string(nameOf(result.reason)) } });
+        }
+        result.report = m_target.report();
+        co_return PeerCodec::encode(std::move(result));
+    }
+
+    Task<MaybeResponse> handleReadiness(HttpRequest message, CancellationPtr)
+    {
+        if (!Platform::isReadinessCheck(message)) {
+            co_return ownAnswer(http::status::not_found, "unknown call");
+        }
+        const bool isReady = !m_stoppedAt && m_sync.routes() != nullptr;
+        co_return ownAnswer(isReady ? http::status::ok : http::status::service_unavailable, isReady ? "ready" : "not ready");
+    }
+
+    Task<MaybeResponse> handleControl(HttpRequest message, CancellationPtr)
+    {
+        const auto call = Platform::decodeControlCall(message);
+        if (!call) {
+            co_return ownAnswer(http::status::not_found, "unknown call");
+        }
+        HttpResponse response(http::status::ok, 11);
+        response.set(http::field::content_type, "application/json");
+        response.body() = "{}";
+        std::visit([&](const auto &known) { onControlCall(known, response); }, *call);
+        response.prepare_payload();
+        co_return response;
+    }
+
+    void onControlCall(const Heartbeat &beat, HttpResponse &response)
+    {
+        if (beat.address != m_settings.backendAddress) {
+            rejectControlCall("heartbeat of a backend server at " + beat.address, response);
+            return;
+        }
+        if (m_target.onHeartbeat(beat) == HeartbeatEffect::Stale) {
+            EventLog::write(LogLevel::Info, Event::TargetAnnounced, { { "backend", beat.id }, { "ignored", "older than what is known" } });
+        }
+    }
+
+    template<typename Leave>
+    void onControlCall(const Leave &call, HttpResponse &response)
+    {
+        if constexpr (requires { call.reason; }) {
+            rejectControlCall(call.reason, response);
+        } else {
+            m_target.onLeave(call.id);
+        }
+    }
+
+    void rejectControlCall(const std::string &reason, HttpResponse &response)
+    {
+        EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "port", "operator" }, { "reason", reason } });
+        response.result(http::status::bad_request);
+    }
+
+    Task<ForwardResult> forward(std::string daemon, ForwardRequest request, CancellationPtr cancellation)
+    {
+        if (m_directory.isSelf(daemon)) {
+            ForwardResult result = co_await m_target.run(std::move(request), std::move(cancellation));
+            result.report = m_target.report();
+            co_return result;
+        }
+        const VmView *vm = m_directory.find(daemon);
+        if (vm == nullptr) {
+            co_return ForwardResult::notRun(Reason::PeerUnreachable);
+        }
+        co_return co_await m_sync.peers().forward(vm->record.address, m_directory.isSameRegion(vm->record), std::move(request), std::move(cancellation));
+    }
+
+    void onTargetChanged()
+    {
+        m_sync.setBackend(m_target.record());
+    }
+
+    void onCrash(const CrashReport &report)
+    {
+        if (m_crashes.add(report, SteadyClock().now())) {
+            EventLog::write(
+                LogLevel::Warning, Event::SuspectRecorded, { { "fingerprint", std::to_string(report.fingerprint) }, { "backend", report.backend } });
+            m_sync.reportNow();
+        }
+    }
+
+    size_t activeRequests() const
+    {
+        return m_callerPort->activeRequests() + m_peerPort->activeRequests();
+    }
+
+    void scheduleTick()
+    {
+        m_tick.expires_after(TickInterval);
+        m_tick.async_wait([this](ErrorCode error) {
+            if (!error) {
+                onTick();
+                scheduleTick();
+            }
+        });
+    }
+
+    void onTick()
+    {
+        m_target.checkTimes();
+        m_ledger.setDaemons(m_directory.all().size());
+        if (m_stoppedAt) {
+            checkStop();
+        }
+    }
+
+    void checkStop()
+    {
+        const Duration since = SteadyClock().now() - *m_stoppedAt;
+        const auto grace = std::chrono::duration<double>(m_settings.gracePeriod) * GraceShare;
+        const bool isDrained = activeRequests() == 0 && since >= StopLinger;
+        if (isDrained || since >= grace) {
+            EventLog::write(LogLevel::Info, Event::DaemonStopped, { { "cause", isDrained ? "drained" : "drain-limit" } });
+            m_loop.stop();
+        }
+    }
+
+    asio::io_context &m_loop;
+    VmSettings m_settings;
+    VmDirectory m_directory;
+    RetryLedger m_ledger;
+    CrashHistory m_crashes;
+    WorkEstimates m_work;
+    TargetService m_target;
+    ClusterSync<Platform> m_sync;
+    RequestRouter m_router;
+    asio::steady_timer m_tick;
+    std::shared_ptr<HttpListener> m_callerPort;
+    std::shared_ptr<HttpListener> m_peerPort;
+    std::shared_ptr<HttpListener> m_readyPort;
+    std::shared_ptr<HttpListener> m_operatorPort;
+    std::optional<TimePoint> m_stoppedAt;
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/vmdirectory.cpp
@@ -0,0 +1,165 @@
+#include <carobjunction/process/vmdirectory.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr double FailureWeight = 0.1; // weight of one call in the smoothed share of failures
+constexpr double ColdFactor = 2; // work on a cold backend server takes about twice as long
+constexpr double CrowdedFactor = 1.7; // work beyond the limit slows all work of the backend server
+constexpr double JitterShare = 0.15;
+constexpr uint32_t LargestDoubling = 5;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+bool accepts(const VmView &vm, const TargetQuery &query)
+{
+    const VmRecord &record = vm.record;
+    return record.backend.state == BackendState::Ready && !record.stopping && record.backend.service == query.service
+        && query.excluded.count(record.daemon) == 0;
+}
+
+} // namespace
+
+bool VmDirectory::merge(const VmRecord &record)
+{
+    const auto [found, isNew] = m_vms.try_emplace(record.daemon);
+    VmView &vm = found->second;
+    if (!isNew && !record.isNewerThan(vm.record)) {
+        return false;
+    }
+    const bool restarted = isNew || record.incarnation != vm.record.incarnation || record.backend.id != vm.record.backend.id;
+    vm.record = record;
+    if (restarted) {
+        vm.report = {};
+        vm.avoidedUntil = {};
+        vm.failures = 0;
+        vm.failureShare = 0;
+        vm.sentSince = 0;
+    }
+    return true;
+}
+
+bool VmDirectory::remove(const std::string &daemon, uint64_t incarnation)
+{
+    const auto found = m_vms.find(daemon);
+    if (found == m_vms.end() || found->second.record.incarnation > incarnation) {
+        return false;
+    }
+    m_vms.erase(found);
+    return true;
+}
+
+void VmDirectory::onReport(const std::string &daemon, const TargetReport &report, TimePoint now)
+{
+    const auto found = m_vms.find(daemon);
+    if (found == m_vms.end()) {
+        return;
+    }
+    found->second.report = report;
+    found->second.reportedAt = now;
+    found->second.sentSince = 0;
+}
+
+void VmDirectory::onSent(const std::string &daemon)
+{
+    const auto found = m_vms.find(daemon);
+    if (found != m_vms.end()) {
+        ++found->second.sentSince;
+        ++found->second.inFlight;
+    }
+}
+
+void VmDirectory::onEnded(const std::string &daemon, bool failed, TimePoint now)
+{
+    const auto found = m_vms.find(daemon);
+    if (found == m_vms.end()) {
+        return;
+    }
+    VmView &vm = found->second;
+    vm.inFlight -= vm.inFlight > 0 ? 1 : 0;
+    vm.failureShare += ((failed ? 1.0 : 0.0) - vm.failureShare) * FailureWeight;
+    if (!failed) {
+        vm.failures = 0;
+        return;
+    }
+    ++vm.failures;
+    if (vm.failures >= FailuresToAvoid) {
+        const uint32_t doublings = std::min(vm.failures - FailuresToAvoid, LargestDoubling);
+        vm.avoidedUntil = now + std::min<Duration>(AvoidAfterFailure * (1U << doublings), LongestAvoidance);
+    }
+}
+
+void VmDirectory::onUnreachable(const std::string &daemon, TimePoint now)
+{
+    const auto found = m_vms.find(daemon);
+    if (found != m_vms.end()) {
+        found->second.failures = std::max(found->second.failures, FailuresToAvoid - 1);
+    }
+    onEnded(daemon, true, now);
+}
+
+void VmDirectory::onAlive(const std::string &daemon)
+{
+    const auto found = m_vms.find(daemon);
+    if (found != m_vms.end() && found->second.failureShare < FailureWeight) {
+        found->second.avoidedUntil = {};
+    }
+}
+
+Duration VmDirectory::predicted(const VmView &vm, const TargetQuery &query, TimePoint now) const
+{
+    const VmRecord &record = vm.record;
+    const Duration hop = isSelf(record.daemon)    ? Duration::zero()
+        : record.dataCentre == m_place.dataCentre ? SameDataCentre
+        : isSameRegion(record)                    ? SameRegion
+                                                  : OtherRegion;
+    const uint32_t limit = std::max<uint32_t>(vm.report.limit, 1);
+    const uint32_t busy = vm.report.running + vm.report.waiting + vm.sentSince;
+    const double slowness = now - vm.reportedAt < SlownessAge ? vm.report.slowness : 1;
+    const double factor = slowness * (vm.report.cold ? ColdFactor : 1) * (busy >= limit ? CrowdedFactor : 1);
+    const double excess = busy < limit ? 0 : static_cast<double>(busy - limit + 1) / limit;
+    // A slot in use makes a noisy moment likelier to hurt, so that equal targets are filled evenly.
+    const double use = 0.3 * static_cast<double>(std::min(busy, limit)) / limit;
+    const Duration work = scaled(query.work, factor);
+    return hop + scaled(work, 1 + use + excess + 4 * vm.failureShare);
+}
+
+std::optional<std::string> VmDirectory::choose(const TargetQuery &query, TimePoint now, const std::function<double()> &jitter) const
+{
+    const VmView *best = nullptr;
+    bool bestAvoided = true;
+    Duration bestTime = Duration::max();
+    for (const auto &[daemon, vm] : m_vms) {
+        if (!accepts(vm, query)) {
+            continue;
+        }
+        const bool avoided = now < vm.avoidedUntil;
+        const Duration time = scaled(predicted(vm, query, now), 1 + JitterShare * jitter());
+        if (best == nullptr || (avoided != bestAvoided ? bestAvoided : time < bestTime)) {
+            best = &vm;
+            bestAvoided = avoided;
+            bestTime = time;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return best->record.daemon;
+}
+
+const VmView *VmDirectory::find(const std::string &daemon) const
+{
+    const auto found = m_vms.find(daemon);
+    return found == m_vms.end() ? nullptr : &found->second;
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/vmsettings.cpp
@@ -0,0 +1,89 @@
+#include "process/vmsettings.h"
+
+#include "version/yamlchecker.h"
+
+#include <algorithm>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr size_t MaxNameLength = 200;
+constexpr std::string_view AddressRange = "an IP address and port, such as 10.0.0.5:7000";
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= MaxNameLength && std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
+bool isAddress(std::string_view text)
+{
+    return ValueText::isAddress(text);
+}
+
+KeyRule<VmSettings> nameKey(const std::string &name, std::string VmSettings::*member)
+{
+    return textKey(name, member, "1 to 200 printable characters", &isName).required();
+}
+
+KeyRule<VmSettings> addressKey(const std::string &name, std::string VmSettings::*member)
+{
+    return textKey(name, member, std::string(AddressRange), &isAddress).required();
+}
+
+const std::vector<KeyRule<VmSettings>> &rules()
+{
+    static const std::vector<KeyRule<VmSettings>> all {
+        nameKey("daemon", &VmSettings::daemon),
+        nameKey("region", &VmSettings::region),
+        nameKey("data-centre", &VmSettings::dataCentre),
+        nameKey("service", &VmSettings::service),
+        addressKey("backend-address", &VmSettings::backendAddress),
+        addressKey("caller-address", &VmSettings::callerAddress),
+        addressKey("peer-address", &VmSettings::peerAddress),
+        addressKey("ready-address", &VmSettings::readyAddress),
+        addressKey("operator-address", &VmSettings::operatorAddress),
+        addressKey("store-address", &VmSettings::storeAddress),
+        choiceKey("log-level", &VmSettings::logLevel),
+        durationKey("heartbeat-interval", &VmSettings::heartbeatInterval, milliseconds(50), minutes(1)),
+        durationKey("grace-period", &VmSettings::gracePeriod, milliseconds(500), minutes(10)),
+        realKey("retry-ratio", &VmSettings::retryRatio, "", 0, 1),
+        integerKey("retry-slack", &VmSettings::retrySlack, "arrivals", 0, 1'000'000),
+        durationKey("retry-window", &VmSettings::retryWindow, seconds(1), minutes(10)),
+        integerKey("memory", &VmSettings::memoryMb, "MB", 32, 1'000'000),
+        integerKey("descriptors", &VmSettings::maxDescriptors, "descriptors", 64, 10'000'000),
+    };
+    return all;
+}
+
+} // namespace
+
+VmSettingsResult VmSettingsParser::parse(std::string_view text, const std::string &file)
+{
+    VmSettingsResult result;
+    const auto root = YamlNode::parse(text, file, result.faults);
+    if (!root) {
+        return result;
+    }
+    VmSettings settings;
+    YamlChecker checker(file, result.faults);
+    readMapping(checker, *root, "", rules(), settings);
+    checker.sortFaults();
+    if (result.faults.empty()) {
+        result.settings = std::move(settings);
+    }
+    return result;
+}
+
+std::vector<KeyDescription> VmSettingsParser::keys()
+{
+    return describe(rules());
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/request/cancellation.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace carobjunction
+{
+
+/** Tells the parts that work on one request that its caller has left. Used on one event loop; not thread-safe. */
+class Cancellation
+{
+public:
+    /** Keeps a callback registered for its lifetime. */
+    class Registration
+    {
+    public:
+        Registration(Cancellation &owner, std::function<void()> callback) : m_owner(owner), m_id(owner.add(std::move(callback)))
+        {
+        }
+        ~Registration()
+        {
+            m_owner.m_callbacks.erase(m_id);
+        }
+        Registration(const Registration &) = delete;
+        Registration &operator=(const Registration &) = delete;
+
+    private:
+        Cancellation &m_owner;
+        int m_id;
+    };
+
+    /** Calls all callbacks, once. */
+    void request()
+    {
+        if (m_isRequested) {
+            return;
+        }
+        m_isRequested = true;
+        const auto callbacks = m_callbacks;
+        for (const auto &[id, callback] : callbacks) {
+            callback();
+        }
+    }
+
+    bool isRequested() const
+    {
+        return m_isRequested;
+    }
+
+private:
+    int add(std::function<void()> callback)
+    {
+        m_callbacks.emplace(++m_lastId, std::move(callback));
+        return m_lastId;
+    }
+
+    bool m_isRequested = false;
+    int m_lastId = 0;
+    std::map<int, std::function<void()>> m_callbacks;
+};
+
+using CancellationPtr = std::shared_ptr<Cancellation>;
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/request/forwarding.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+#include <carobjunction/process/vmdirectory.h>
+#include <carobjunction/request/outcome.h>
+#include <carobjunction/request/reason.h>
+
+#include "connection/asio.h"
+
+#include <optional>
+#include <string>
+
+namespace carobjunction
+{
+
+/** A request on its way from the entry daemon to the daemon beside a target. */
+struct ForwardRequest {
+    HttpRequest message; /**< As the caller sent it, less the fields that concern one connection only. */
+    std::string requestId;
+    std::string callerService; /**< Service of the VM on which the request began. */
+    std::string service; /**< Service that is to run it. */
+    std::string route; /**< Name of the route, by which work is estimated. */
+    std::string backend; /**< Id of the backend server that the entry chose. */
+    uint64_t configVersion = 0; /**< Version of the routes that the entry used. */
+    uint64_t fingerprint = 0; /**< See fingerprintOf(). */
+    bool idempotent = false;
+    bool mayQueue = false; /**< Whether it may wait at the target for a slot. */
+    uint32_t priority = 0; /**< 0 is the most urgent. */
+    TimePoint aimAt; /**< Time until which an answer is in good time. */
+    TimePoint deadlineAt; /**< Time at which the caller gets its final answer. */
+    Duration work = Duration::zero(); /**< Expected time at the backend server. */
+};
+
+/** What became of a request at a target. */
+struct ForwardResult {
+    Outcome outcome = Outcome::NotRun;
+    Reason reason = Reason::None;
+    bool reachedBackend = false; /**< Whether it was sent to the backend server, which may have rejected it. */
+    HttpResponse response; /**< The backend server's answer; only if the outcome is Ran. */
+    std::optional<TargetReport> report;
+    Duration serviceTime = Duration::zero(); /**< Time at the backend server. */
+    Duration retryAfter = Duration::zero(); /**< Time after which the target expects to have room; for refusals. */
+    std::string detail; /**< Last error of the connection, if one ended the attempt. */
+
+    static ForwardResult notRun(Reason reason, Duration retryAfter = Duration::zero())
+    {
+        ForwardResult result;
+        result.reason = reason;
+        result.retryAfter = retryAfter;
+        return result;
+    }
+
+    static ForwardResult unknown(Reason reason, std::string detail = {})
+    {
+        ForwardResult result;
+        result.outcome = Outcome::Unknown;
+        result.reason = reason;
+        result.reachedBackend = true;
+        result.detail = std::move(detail);
+        return result;
+    }
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/request/requestrouter.cpp
@@ -0,0 +1,333 @@
+#include "request/requestrouter.h"
+
+#include <carobjunction/request/fingerprint.h>
+
+#include "connection/messagefields.h"
+#include "connection/peercodec.h"
+#include "process/eventlog.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr auto ShortestRetryAfter = std::chrono::milliseconds(50);
+constexpr auto LongestRetryAfter = std::chrono::seconds(2);
+constexpr auto StartupRetryAfter = std::chrono::milliseconds(500); // until the configuration has been read
+constexpr double UsefulShare = 0.8; // of the usual work that must be left for another attempt
+
+std::string toSeconds(Duration duration)
+{
+    const Duration bounded = std::clamp<Duration>(duration, ShortestRetryAfter, LongestRetryAfter);
+    std::array<char, 16> text {};
+    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(bounded).count());
+    return text.data();
+}
+
+std::optional<int64_t> readMs(const std::string &text)
+{
+    int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string msText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+} // namespace
+
+/** State of one request. */
+struct RequestRouter::Call {
+    std::shared_ptr<const RouteTable> routes; /**< Keeps the route alive when a newer table comes into force. */
+    const HostRoute *route = nullptr;
+    ForwardRequest request;
+    TimePoint startedAt;
+    std::set<std::string> tried; /**< Daemons whose target has had the request, or refused it. */
+    std::map<std::string, Duration> refusals; /**< Daemons that were full, with the wait that they predict. */
+    bool isWaiting = false; /**< The request may wait at the next target. */
+    uint32_t arrivals = 0; /**< Backend servers that the request reached. */
+    uint32_t hops = 0;
+    bool mayHaveRun = false;
+    Reason lastReason = Reason::NoTarget;
+    std::optional<HttpResponse> failure; /**< A backend server's own failure, answered if nothing better comes. */
+};
+
+RequestRouter::RequestRouter(
+    RouterEnvironment environment, const ServedHeaders &headers, VmDirectory &directory, RetryLedger &ledger, const CrashHistory &crashes, WorkEstimates &work)
+    : m_environment(std::move(environment)), m_headers(headers), m_directory(directory), m_ledger(ledger), m_crashes(crashes), m_work(work)
+{
+}
+
+Task<MaybeResponse> RequestRouter::handle(HttpRequest message, CancellationPtr cancellation)
+{
+    Call call;
+    call.startedAt = SteadyClock().now();
+    std::optional<HttpResponse> response = prepare(call, std::move(message));
+    if (!response) {
+        response = co_await attempt(call, cancellation);
+    }
+    EventLog::write(LogLevel::Info,
+                    Event::CallAnswered,
+                    { { "request", call.request.requestId },
+                      { "route", call.request.route },
+                      { "service", call.request.service },
+                      { "config", std::to_string(call.request.configVersion) },
+                      { "status", std::to_string(response->result_int()) },
+                      { "reason", std::string(nameOf(call.lastReason)) },
+                      { "hops", std::to_string(call.hops) },
+                      { "arrivals", std::to_string(call.arrivals) },
+                      { "cancelled", cancellation->isRequested() ? "yes" : "no" },
+                      { "ms", msText(SteadyClock().now() - call.startedAt) } });
+    if (!call.request.requestId.empty()) {
+        response->set(m_headers.requestId, call.request.requestId);
+    }
+    co_return std::move(response);
+}
+
+/** Finds the route and fills in the request. @return an answer if the request can't be served */
+std::optional<HttpResponse> RequestRouter::prepare(Call &call, HttpRequest message)
+{
+    call.request.requestId = fieldText(message, m_headers.requestId);
+    call.routes = m_environment.routes();
+    if (!call.routes) {
+        return refuse(call, call.lastReason = Reason::NoConfiguration, StartupRetryAfter);
+    }
+    call.request.configVersion = call.routes->version();
+    const std::string path(message.target().data(), message.target().size());
+    const std::string host = fieldText(message, "Host");
+    call.route = call.routes->match(host, path);
+    if (call.route == nullptr) {
+        call.lastReason = Reason::UnknownRoute;
+        return ownAnswer(http::status::not_found, "no route for this host and path");
+    }
+    const HostRoute &route = *call.route;
+    Duration left = route.timeout;
+    if (hasField(message, m_headers.deadline)) {
+        const auto sent = readMs(fieldText(message, m_headers.deadline));
+        if (!sent) {
+            call.lastReason = Reason::Malformed;
+            return ownAnswer(http::status::bad_request, m_headers.deadline + " must be a whole number of milliseconds");
+        }
+        left = std::min<Duration>(left, std::chrono::milliseconds(*sent));
+    }
+    ForwardRequest &request = call.request;
+    request.route = route.name;
+    request.service = chooseService(route);
+    request.callerService = m_environment.callerService;
+    request.idempotent = route.idempotent;
+    request.priority = route.priority;
+    request.aimAt = call.startedAt + route.aim;
+    request.deadlineAt = call.startedAt + left;
+    request.work = m_work.estimate(route.name);
+    request.fingerprint = fingerprintOf(host, std::string_view(message.method_string().data(), message.method_string().size()), path, message.body());
+    removeConnectionFields(message);
+    message.erase(PeerCodec::RequestField);
+    request.message = std::move(message);
+    m_ledger.onRequest(request.service, call.startedAt);
+    if (m_crashes.isCondemned(request.fingerprint)) {
+        return refuse(call, call.lastReason = Reason::Condemned, LongestRetryAfter);
+    }
+    return std::nullopt;
+}
+
+/** Spreads the requests of a split route evenly: the part that is furthest behind its share is next. */
+const std::string &RequestRouter::chooseService(const HostRoute &route)
+{
+    if (route.parts.size() == 1) {
+        return route.parts.front().service;
+    }
+    std::map<std::string, double> &credits = m_credits[route.name];
+    double total = 0;
+    const RoutePart *next = nullptr;
+    for (const RoutePart &part : route.parts) {
+        const auto [credit, isNew] = credits.try_emplace(part.service, 0);
+        if (isNew) {
+            // Daemons start at different places of the sequence, so that their first requests don't all go to the same part.
+            credit->second = part.weight * std::uniform_real_distribution<double>(0, 1)(m_random);
+        }
+        total += part.weight;
+        credit->second += part.weight;
+        if (next == nullptr || credit->second > credits[next->service]) {
+            next = &part;
+        }
+    }
+    credits[next->service] -= total;
+    return next->service;
+}
+
+std::optional<std::string> RequestRouter::chooseTarget(Call &call, TimePoint now)
+{
+    call.request.mayQueue = false;
+    if (call.refusals.size() < MaxRefusals) {
+        const auto jitter = [this] {
+            return std::uniform_real_distribution<double>(0, 1)(m_random);
+        };
+        if (auto next = m_directory.choose({ call.request.service, call.request.work, call.tried }, now, jitter)) {
+            return next;
+        }
+    }
+    if (call.isWaiting || call.refusals.empty()) {
+        return std::nullopt;
+    }
+    call.isWaiting = true;
+    call.request.mayQueue = true;
+    const auto shortest = std::min_element(call.refusals.begin(), call.refusals.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return shortest->first;
+}
+
+Task<HttpResponse> RequestRouter::attempt(Call &call, CancellationPtr cancellation)
+{
+    while (true) {
+        const TimePoint now = SteadyClock().now();
+        if (cancellation->isRequested()) {
+            co_return finish(call, call.lastReason = Reason::Cancelled, {});
+        }
+        if (now >= call.request.deadlineAt) {
+            co_return finish(call, call.lastReason = Reason::DeadlineExceeded, ShortestRetryAfter);
+        }
+        const std::optional<std::string> daemon = chooseTarget(call, now);
+        const VmView *vm = daemon ? m_directory.find(*daemon) : nullptr;
+        if (vm == nullptr) {
+            const Duration wait = call.refusals.empty() ? Duration(StartupRetryAfter) : call.refusals.begin()->second;
+            co_return finish(call, call.lastReason, wait);
+        }
+        call.request.backend = vm->record.backend.id;
+        call.tried.insert(*daemon);
+        ++call.hops;
+        m_directory.onSent(*daemon);
+        ForwardResult result = co_await m_environment.forward(*daemon, call.request, cancellation);
+        if (auto response = judge(call, *daemon, std::move(result))) {
+            co_return std::move(*response);
+        }
+    }
+}
+
+std::optional<HttpResponse> RequestRouter::judge(Call &call, const std::string &daemon, ForwardResult result)
+{
+    const TimePoint now = SteadyClock().now();
+    if (result.report) {
+        m_directory.onReport(daemon, *result.report, now);
+    }
+    if (result.reachedBackend && ++call.arrivals > 1 && result.outcome == Outcome::NotRun) {
+        m_ledger.onRepeat(call.request.service, now);
+    }
+    call.lastReason = result.reason;
+    if (result.outcome != Outcome::Ran) {
+        EventLog::write(LogLevel::Info,
+                        Event::RetryDecided,
+                        { { "request", call.request.requestId },
+                          { "daemon", daemon },
+                          { "backend", call.request.backend },
+                          { "outcome", std::string(nameOf(result.outcome)) },
+                          { "reason", std::string(nameOf(result.reason)) },
+                          { "queued", call.request.mayQueue ? "yes" : "no" },
+                          { "detail", result.detail } });
+    }
+    switch (result.outcome) {
+    case Outcome::Ran:
+        return judgeAnswer(call, daemon, std::move(result));
+    case Outcome::NotRun:
+        return judgeRefusal(call, daemon, std::move(result));
+    case Outcome::Unknown:
+        break;
+    }
+    return judgeLoss(call, daemon, result);
+}
+
+std::optional<HttpResponse> RequestRouter::judgeAnswer(Call &call, const std::string &daemon, ForwardResult result)
+{
+    const TimePoint now = SteadyClock().now();
+    const bool isFailure = result.response.result_int() >= 500;
+    m_directory.onEnded(daemon, isFailure, now);
+    if (!isFailure) {
+        m_work.observe(call.request.route, result.serviceTime);
+        return std::move(result.response);
+    }
+    call.failure = std::move(result.response);
+    call.mayHaveRun = true;
+    if (mayRepeat(call, now)) {
+        return std::nullopt;
+    }
+    return std::move(call.failure);
+}
+
+std::optional<HttpResponse> RequestRouter::judgeRefusal(Call &call, const std::string &daemon, ForwardResult result)
+{
+    const TimePoint now = SteadyClock().now();
+    const bool isFault = result.reason == Reason::TargetDown || result.reason == Reason::Shed || result.reason == Reason::PeerUnreachable;
+    if (result.reason == Reason::PeerUnreachable) {
+        m_directory.onUnreachable(daemon, now);
+    } else {
+        m_directory.onEnded(daemon, isFault, now);
+    }
+    if (result.reason == Reason::Full || result.reason == Reason::DeadlineTooShort) {
+        call.refusals[daemon] = result.retryAfter;
+    }
+    if (result.reason == Reason::Condemned) {
+        return finish(call, Reason::Condemned, LongestRetryAfter);
+    }
+    if (result.reachedBackend && call.arrivals >= call.route->attempts) {
+        return finish(call, result.reason, result.retryAfter);
+    }
+    return std::nullopt;
+}
+
+std::optional<HttpResponse> RequestRouter::judgeLoss(Call &call, const std::string &daemon, const ForwardResult &result)
+{
+    const TimePoint now = SteadyClock().now();
+    const bool isFault = result.reason != Reason::Cancelled && result.reason != Reason::DeadlineExceeded;
+    m_directory.onEnded(daemon, isFault, now);
+    call.mayHaveRun = true;
+    if (mayRepeat(call, now)) {
+        return std::nullopt;
+    }
+    return finish(call, result.reason, {});
+}
+
+bool RequestRouter::mayRepeat(Call &call, TimePoint now)
+{
+    const auto needed = Duration(static_cast<Duration::rep>(static_cast<double>(call.request.work.count()) * UsefulShare));
+    if (!call.request.idempotent || call.arrivals >= call.route->attempts || now + needed > call.request.deadlineAt) {
+        return false;
+    }
+    return m_ledger.tryRepeat(call.request.service, now);
+}
+
+/** Final answer when no backend server gave one. */
+HttpResponse RequestRouter::finish(const Call &call, Reason reason, Duration retryAfter)
+{
+    if (call.failure) {
+        return *call.failure;
+    }
+    if (!call.mayHaveRun) {
+        return refuse(call, reason, retryAfter);
+    }
+    const bool isLate = reason == Reason::DeadlineExceeded;
+    return ownAnswer(isLate ? http::status::gateway_timeout : http::status::bad_gateway, "the request may have run: " + std::string(nameOf(reason)));
+}
+
+HttpResponse RequestRouter::refuse(const Call &call, Reason reason, Duration retryAfter)
+{
+    EventLog::write(LogLevel::Info,
+                    Event::RequestRejected,
+                    { { "request", call.request.requestId },
+                      { "reason", std::string(nameOf(reason)) },
+                      { "refusals", std::to_string(call.refusals.size()) },
+                      { "retryAfterMs", msText(retryAfter) } });
+    HttpResponse response = ownAnswer(http::status::service_unavailable, "the request did not run: " + std::string(nameOf(reason)));
+    response.set(http::field::retry_after, toSeconds(retryAfter));
+    return response;
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/request/requestrouter.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/retryledger.h>
+#include <carobjunction/process/vmdirectory.h>
+#include <carobjunction/version/routetable.h>
+
+#include "connection/httplistener.h"
+#include "process/workestimates.h"
+#include "request/forwarding.h"
+#include "request/servedheaders.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace carobjunction
+{
+
+/** What the router needs of the process around it. */
+struct RouterEnvironment {
+    std::function<std::shared_ptr<const RouteTable>()> routes; /**< Routes in force; null before the first. */
+    std::function<Task<ForwardResult>(std::string daemon, ForwardRequest, CancellationPtr)> forward; /**< Sends to a target. */
+    std::string callerService; /**< Service of the VM on which this daemon runs. */
+};
+
+/**
+ * Role of the daemon that a caller reaches: finds the route, chooses targets one after the other, and answers.
+ * Used on one event loop; not thread-safe.
+ *
+ * A request that may have run is sent again only if it is idempotent. 429, 503 and 421 are answered only if it is proven that
+ * nothing ran.
+ */
+class RequestRouter
+{
+public:
+    /** Targets that may refuse a request before it waits at the one with the shortest queue. */
+    static constexpr size_t MaxRefusals = 3;
+
+    /** All references outlive this object. */
+    RequestRouter(RouterEnvironment environment,
+                  const ServedHeaders &headers,
+                  VmDirectory &directory,
+                  RetryLedger &ledger,
+                  const CrashHistory &crashes,
+                  WorkEstimates &work);
+
+    Task<MaybeResponse> handle(HttpRequest message, CancellationPtr cancellation);
+
+private:
+    struct Call;
+
+    std::optional<HttpResponse> prepare(Call &call, HttpRequest message);
+    const std::string &chooseService(const HostRoute &route);
+    Task<HttpResponse> attempt(Call &call, CancellationPtr cancellation);
+    std::optional<std::string> chooseTarget(Call &call, TimePoint now);
+    std::optional<HttpResponse> judge(Call &call, const std::string &daemon, ForwardResult result);
+    std::optional<HttpResponse> judgeAnswer(Call &call, const std::string &daemon, ForwardResult result);
+    std::optional<HttpResponse> judgeRefusal(Call &call, const std::string &daemon, ForwardResult result);
+    std::optional<HttpResponse> judgeLoss(Call &call, const std::string &daemon, const ForwardResult &result);
+    bool mayRepeat(Call &call, TimePoint now);
+    HttpResponse finish(const Call &call, Reason reason, Duration retryAfter);
+    HttpResponse refuse(const Call &call, Reason reason, Duration retryAfter);
+
+    RouterEnvironment m_environment;
+    const ServedHeaders &m_headers;
+    VmDirectory &m_directory;
+    RetryLedger &m_ledger;
+    const CrashHistory &m_crashes;
+    WorkEstimates &m_work;
+    std::minstd_rand m_random { std::random_device {}() };
+    std::map<std::string, std::map<std::string, double>> m_credits; /**< Of each part of a split route, for an even sequence. */
+};
+
+} // namespace carobjunction
