--- a/include/carobjunction/process/retryledger.h
+++ b/include/carobjunction/process/retryledger.h
@@ -48,9 +48,6 @@
     /** @return whether the request may arrive once more; it then counts as repeated */
     bool tryRepeat(const std::string &service, TimePoint now);
 
-    /** Counts a repeat that was made without asking, such as one that a backend server rejected. */
-    void onRepeat(const std::string &service, TimePoint now);
-
 private:
     struct Window {
         std::deque<TimePoint> requests;
--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -62,10 +62,20 @@
     /** Part of the time to the deadline that a prediction may use, since predictions err. */
     static constexpr double DeadlineMargin = 0.9;
 
-    /** @param limit  requests that may run at once */
-    void setLimit(uint32_t limit)
+    /**
+     * Work that is this many times shorter than usual may use the slots beyond the limit: other requests, at work in other
+     * targets, wait for it, and it slows its neighbours only for a moment.
+     */
+    static constexpr int ShortWorkRatio = 3;
+
+    /**
+     * @param limit  requests that may run at once
+     * @param slots  requests that may run at once if those beyond the limit are short; at least @p limit
+     */
+    void setLimit(uint32_t limit, uint32_t slots)
     {
         m_limit = limit;
+        m_slots = slots;
     }
 
     /** @param waiter  called once if the request has to wait; not called after withdraw() */
@@ -98,10 +108,12 @@
 
     Duration predictedWait(size_t ahead) const;
     size_t countAhead(const SlotRequest &request, TimePoint now) const;
+    bool hasSlotFor(const SlotRequest &request) const;
     Iterator best(TimePoint now);
     void grantNext(TimePoint now);
 
     uint32_t m_limit = 1;
+    uint32_t m_slots = 1;
     uint32_t m_running = 0;
     Ticket m_lastTicket = 0;
     std::list<Waiting> m_waiting;
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -40,11 +40,21 @@
     std::string region;
 };
 
+/** Which targets a choice considers. */
+enum class TargetScope {
+    RegionWithRoom, /**< In this region, with a free slot by its last report. */
+    Region, /**< In this region. */
+    OtherRegionWithRoom, /**< In another region, with a free slot by its last report. Traffic between regions is billed by volume. */
+    Anywhere,
+};
+
 /** What a choice of target depends on, beside the directory. */
 struct TargetQuery {
     std::string service;
     Duration work = Duration::zero(); /**< Time that the request is expected to take. */
     std::set<std::string> excluded; /**< Daemons that are not to be chosen. */
+    TargetScope scope = TargetScope::Anywhere;
+    bool withAvoided = false; /**< Whether targets that failed calls a moment ago are considered. */
 };
 
 /** All VMs that this daemon knows. Records are merged by incarnation and revision, in any order. Not thread-safe. */
@@ -58,9 +68,9 @@
     static constexpr Duration LongestAvoidance = std::chrono::seconds(4);
     /** Failed calls in a row from which on a VM is avoided. */
     static constexpr uint32_t FailuresToAvoid = 2;
-    /** Round trips of a request and its answer. */
+    /** Costs of a round trip, in time that a request may wait instead: traffic between data centres is billed by volume. */
     static constexpr Duration SameDataCentre = std::chrono::milliseconds(1);
-    static constexpr Duration SameRegion = std::chrono::milliseconds(3);
+    static constexpr Duration SameRegion = std::chrono::milliseconds(12);
     static constexpr Duration OtherRegion = std::chrono::milliseconds(90);
 
     VmDirectory(std::string self, Place place) : m_self(std::move(self)), m_place(std::move(place))
@@ -112,6 +122,7 @@
     }
 
 private:
+    bool isEligible(const VmView &vm, const TargetQuery &query, TimePoint now) const;
     Duration predicted(const VmView &vm, const TargetQuery &query, TimePoint now) const;
 
     std::string m_self;
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -42,7 +42,7 @@
     /** Shortest time between two load reports to the daemons of the region. */
     static constexpr Duration NearReportInterval = std::chrono::milliseconds(100);
     /** Time between reports to all daemons. */
-    static constexpr Duration FarReportInterval = std::chrono::seconds(1);
+    static constexpr Duration FarReportInterval = std::chrono::seconds(2);
     /** Receivers of one report, chosen at random when there are more daemons. */
     static constexpr size_t ReportFanout = 16;
     /** Time for which the store is given to bring a change before a peer is asked for it. */
--- a/src/process/retryledger.cpp
+++ b/src/process/retryledger.cpp
@@ -40,9 +40,4 @@
     return true;
 }
 
-void RetryLedger::onRepeat(const std::string &service, TimePoint now)
-{
-    current(service, now).repeats.push_back(now);
-}
-
 } // namespace carobjunction
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -42,16 +42,21 @@
         std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &other) { return rank(other.request, now) <= rank(request, now); }));
 }
 
+bool SlotQueue::hasSlotFor(const SlotRequest &request) const
+{
+    return m_running < (request.work * ShortWorkRatio <= m_meanWork ? m_slots : m_limit);
+}
+
 SlotQueue::Decision SlotQueue::offer(const SlotRequest &request, TimePoint now, Waiter waiter)
 {
     Decision decision;
-    const Duration wait = predictedWait(countAhead(request, now));
+    const Duration wait = hasSlotFor(request) ? Duration::zero() : predictedWait(countAhead(request, now));
     decision.retryAfter = std::max<Duration>(predictedWait(m_waiting.size()), std::chrono::milliseconds(50));
     if (request.deadlineAt <= now || wait + request.work > scaled(request.deadlineAt - now, DeadlineMargin)) {
         decision.reason = Reason::DeadlineTooShort;
         return decision;
     }
-    if (m_running < m_limit) {
+    if (hasSlotFor(request)) {
         ++m_running;
         decision.isGranted = true;
         return decision;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -64,7 +64,7 @@
     const HeartbeatEffect effect = m_gate.onHeartbeat(beat, SteadyClock().now());
     if (effect == HeartbeatEffect::Changed) {
         const auto limit = static_cast<uint32_t>(std::floor(beat.slots * UsedSlotShare + 0.001));
-        m_slots.setLimit(std::max<uint32_t>(limit, 1));
+        m_slots.setLimit(std::max<uint32_t>(limit, 1), std::max<uint32_t>(beat.slots, 1));
         onRecordChanged();
     }
     return effect;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -48,8 +48,8 @@
     static constexpr int MissedHeartbeats = 3;
     /** Part of the grace period after which the process ends, with requests in progress or not. */
     static constexpr double GraceShare = 0.9;
-    /** Time after a stop for which callers that have not noticed it are served. */
-    static constexpr Duration StopLinger = std::chrono::milliseconds(3000);
+    /** Time after a stop for which callers that have not noticed it are served. Later requests might not finish in time. */
+    static constexpr Duration StopLinger = std::chrono::milliseconds(2500);
 
     VmDaemon(asio::io_context &loop, VmSettings settings)
         : m_loop(loop)
@@ -156,7 +156,10 @@
 
     Task<MaybeResponse> handleCaller(HttpRequest message, CancellationPtr cancellation)
     {
-        return m_router.handle(std::move(message), std::move(cancellation));
+        if (m_stoppedAt && SteadyClock().now() - *m_stoppedAt > StopLinger) {
+            co_return m_router.refuseStopped(message);
+        }
+        co_return co_await m_router.handle(std::move(message), std::move(cancellation));
     }
 
     Task<MaybeResponse> handlePeer(HttpRequest message, CancellationPtr cancellation)
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -27,6 +27,11 @@
         && query.excluded.count(record.daemon) == 0;
 }
 
+bool hasRoom(const VmView &vm)
+{
+    return vm.report.limit == 0 || vm.report.running + vm.report.waiting + vm.sentSince < vm.report.limit;
+}
+
 } // namespace
 
 bool VmDirectory::merge(const VmRecord &record)
@@ -115,6 +120,24 @@
     }
 }
 
+bool VmDirectory::isEligible(const VmView &vm, const TargetQuery &query, TimePoint now) const
+{
+    if (!accepts(vm, query) || (now < vm.avoidedUntil && !query.withAvoided)) {
+        return false;
+    }
+    switch (query.scope) {
+    case TargetScope::RegionWithRoom:
+        return isSameRegion(vm.record) && hasRoom(vm);
+    case TargetScope::Region:
+        return isSameRegion(vm.record);
+    case TargetScope::OtherRegionWithRoom:
+        return !isSameRegion(vm.record) && hasRoom(vm);
+    case TargetScope::Anywhere:
+        break;
+    }
+    return true;
+}
+
 Duration VmDirectory::predicted(const VmView &vm, const TargetQuery &query, TimePoint now) const
 {
     const VmRecord &record = vm.record;
@@ -136,17 +159,14 @@
 std::optional<std::string> VmDirectory::choose(const TargetQuery &query, TimePoint now, const std::function<double()> &jitter) const
 {
     const VmView *best = nullptr;
-    bool bestAvoided = true;
     Duration bestTime = Duration::max();
     for (const auto &[daemon, vm] : m_vms) {
-        if (!accepts(vm, query)) {
+        if (!isEligible(vm, query, now)) {
             continue;
         }
-        const bool avoided = now < vm.avoidedUntil;
         const Duration time = scaled(predicted(vm, query, now), 1 + JitterShare * jitter());
-        if (best == nullptr || (avoided != bestAvoided ? bestAvoided : time < bestTime)) {
+        if (time < bestTime) {
             best = &vm;
-            bestAvoided = avoided;
             bestTime = time;
         }
     }
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -55,7 +55,7 @@
     TimePoint startedAt;
     std::set<std::string> tried; /**< Daemons whose target has had the request, or refused it. */
     std::map<std::string, Duration> refusals; /**< Daemons that were full, with the wait that they predict. */
-    bool isWaiting = false; /**< The request may wait at the next target. */
+    std::set<std::string> queuedAt; /**< Daemons that refused even a wait. */
     uint32_t arrivals = 0; /**< Backend servers that the request reached. */
     uint32_t hops = 0;
     bool mayHaveRun = false;
@@ -166,24 +166,62 @@
     return next->service;
 }
 
-std::optional<std::string> RequestRouter::chooseTarget(Call &call, TimePoint now)
+std::optional<std::string> RequestRouter::chooseIn(Call &call, TargetScope scope, bool mayQueue, TimePoint now)
+{
+    const auto jitter = [this] {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    };
+    TargetQuery query { call.request.service, call.request.work, call.tried, scope, false };
+    auto chosen = m_directory.choose(query, now, jitter);
+    if (!chosen && mayQueue) {
+        query.withAvoided = true;
+        chosen = m_directory.choose(query, now, jitter);
+    }
+    call.request.mayQueue = mayQueue;
+    return chosen;
+}
+
+/** @return a target of this region at which the request can wait and still be answered by @p answerBy */
+std::optional<std::string> RequestRouter::chooseQueue(Call &call, TimePoint answerBy, TimePoint now)
 {
-    call.request.mayQueue = false;
-    if (call.refusals.size() < MaxRefusals) {
-        const auto jitter = [this] {
-            return std::uniform_real_distribution<double>(0, 1)(m_random);
-        };
-        if (auto next = m_directory.choose({ call.request.service, call.request.work, call.tried }, now, jitter)) {
-            return next;
+    if (auto fresh = chooseIn(call, TargetScope::Region, true, now)) {
+        return fresh;
+    }
+    std::optional<std::string> shortest;
+    Duration wait = answerBy - now - call.request.work;
+    for (const auto &[daemon, predicted] : call.refusals) {
+        if (call.queuedAt.count(daemon) == 0 && predicted < wait) {
+            shortest = daemon;
+            wait = predicted;
         }
     }
-    if (call.isWaiting || call.refusals.empty()) {
+    return shortest;
+}
+
+/**
+ * A free slot in this region goes first, then a wait there that keeps the request in good time, then a free slot in another region,
+ * then a late answer from this region.
+ */
+std::optional<std::string> RequestRouter::chooseTarget(Call &call, TimePoint now)
+{
+    if (call.hops >= MaxHops) {
         return std::nullopt;
     }
-    call.isWaiting = true;
-    call.request.mayQueue = true;
-    const auto shortest = std::min_element(call.refusals.begin(), call.refusals.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    return shortest->first;
+    if (auto free = chooseIn(call, TargetScope::RegionWithRoom, false, now)) {
+        return free;
+    }
+    if (auto queue = chooseQueue(call, call.request.aimAt, now)) {
+        return queue;
+    }
+    if (now + RegionRoundTrip + call.request.work < call.request.aimAt) {
+        if (auto far = chooseIn(call, TargetScope::OtherRegionWithRoom, false, now)) {
+            return far;
+        }
+    }
+    if (auto late = chooseQueue(call, call.request.deadlineAt, now)) {
+        return late;
+    }
+    return call.refusals.empty() ? chooseIn(call, TargetScope::Anywhere, true, now) : std::nullopt;
 }
 
 Task<HttpResponse> RequestRouter::attempt(Call &call, CancellationPtr cancellation)
@@ -204,6 +242,9 @@
         }
         call.request.backend = vm->record.backend.id;
         call.tried.insert(*daemon);
+        if (call.request.mayQueue) {
+            call.queuedAt.insert(*daemon);
+        }
         ++call.hops;
         m_directory.onSent(*daemon);
         ForwardResult result = co_await m_environment.forward(*daemon, call.request, cancellation);
@@ -219,9 +260,7 @@
     if (result.report) {
         m_directory.onReport(daemon, *result.report, now);
     }
-    if (result.reachedBackend && ++call.arrivals > 1 && result.outcome == Outcome::NotRun) {
-        m_ledger.onRepeat(call.request.service, now);
-    }
+    call.arrivals += result.reachedBackend ? 1 : 0;
     call.lastReason = result.reason;
     if (result.outcome != Outcome::Ran) {
         EventLog::write(LogLevel::Info,
@@ -256,7 +295,7 @@
     }
     call.failure = std::move(result.response);
     call.mayHaveRun = true;
-    if (mayRepeat(call, now)) {
+    if (now + call.request.work < call.request.aimAt && mayRepeat(call, now)) {
         return std::nullopt;
     }
     return std::move(call.failure);
@@ -277,7 +316,8 @@
     if (result.reason == Reason::Condemned) {
         return finish(call, Reason::Condemned, LongestRetryAfter);
     }
-    if (result.reachedBackend && call.arrivals >= call.route->attempts) {
+    // The next arrival counts as a repeat, although the backend server did not run the request.
+    if (result.reachedBackend && (call.arrivals >= call.route->attempts || !m_ledger.tryRepeat(call.request.service, now))) {
         return finish(call, result.reason, result.retryAfter);
     }
     return std::nullopt;
@@ -304,6 +344,13 @@
     return m_ledger.tryRepeat(call.request.service, now);
 }
 
+HttpResponse RequestRouter::refuseStopped(const HttpRequest &message)
+{
+    Call call;
+    call.request.requestId = fieldText(message, m_headers.requestId);
+    return refuse(call, Reason::Leaving, LongestRetryAfter);
+}
+
 /** Final answer when no backend server gave one. */
 HttpResponse RequestRouter::finish(const Call &call, Reason reason, Duration retryAfter)
 {
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -35,8 +35,10 @@
 class RequestRouter
 {
 public:
-    /** Targets that may refuse a request before it waits at the one with the shortest queue. */
-    static constexpr size_t MaxRefusals = 3;
+    /** Calls to other daemons for one request. */
+    static constexpr uint32_t MaxHops = 6;
+    /** Time that a round trip to another region takes. */
+    static constexpr Duration RegionRoundTrip = std::chrono::milliseconds(70);
 
     /** All references outlive this object. */
     RequestRouter(RouterEnvironment environment,
@@ -48,6 +50,9 @@
 
     Task<MaybeResponse> handle(HttpRequest message, CancellationPtr cancellation);
 
+    /** @return the answer to a request that came when this daemon is about to end */
+    HttpResponse refuseStopped(const HttpRequest &message);
+
 private:
     struct Call;
 
@@ -55,6 +60,8 @@
     const std::string &chooseService(const HostRoute &route);
     Task<HttpResponse> attempt(Call &call, CancellationPtr cancellation);
     std::optional<std::string> chooseTarget(Call &call, TimePoint now);
+    std::optional<std::string> chooseIn(Call &call, TargetScope scope, bool mayQueue, TimePoint now);
+    std::optional<std::string> chooseQueue(Call &call, TimePoint answerBy, TimePoint now);
     std::optional<HttpResponse> judge(Call &call, const std::string &daemon, ForwardResult result);
     std::optional<HttpResponse> judgeAnswer(Call &call, const std::string &daemon, ForwardResult result);
     std::optional<HttpResponse> judgeRefusal(Call &call, const std::string &daemon, ForwardResult result);
