--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -39,6 +39,14 @@
         }
     }
 
+    void abort()
+    {
+        m_isAborted = true;
+        if (m_cancellation) {
+            m_cancellation->request();
+        }
+    }
+
 private:
     using Parser = http::request_parser<http::string_body>;
 
@@ -46,6 +54,7 @@
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
     Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
     Task<bool> answer(HttpRequest request);
+    Task<void> rejectUnreadable(ErrorCode error);
     Task<void> reject(http::status status);
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
@@ -56,7 +65,9 @@
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
     beast::flat_buffer m_buffer;
+    CancellationPtr m_cancellation; /**< Of the request that is being answered. */
     bool m_isBusy = false;
+    bool m_isAborted = false; /**< The process ends, not the client's interest. */
 };
 
 void HttpListener::Session::close()
@@ -120,11 +131,7 @@
     if (!error) {
         co_return true;
     }
-    if (error == http::error::header_limit) {
-        co_await reject(http::status::request_header_fields_too_large);
-    } else if (error != http::error::end_of_stream && error.category() == http::make_error_code(http::error::bad_method).category()) {
-        co_await reject(http::status::bad_request);
-    }
+    co_await rejectUnreadable(error);
     co_return false;
 }
 
@@ -144,11 +151,7 @@
     if (!error) {
         co_return true;
     }
-    if (error == http::error::body_limit) {
-        co_await reject(http::status::payload_too_large);
-    } else if (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::partial_message) {
-        co_await reject(http::status::bad_request);
-    }
+    co_await rejectUnreadable(error);
     co_return false;
 }
 
@@ -164,6 +167,7 @@
 Task<bool> HttpListener::Session::answer(HttpRequest request)
 {
     const auto cancellation = std::make_shared<Cancellation>();
+    m_cancellation = cancellation;
     const bool isHead = request.method() == http::verb::head;
     const bool wantsKeepAlive = request.keep_alive();
     if (m_buffer.size() == 0) {
@@ -172,7 +176,9 @@
     MaybeResponse response = co_await m_listener->m_handler(std::move(request), cancellation);
     ErrorCode error;
     m_socket.cancel(error);
-    if (!response || cancellation->isRequested() || error) {
+    m_cancellation.reset();
+    const bool hasLeft = cancellation->isRequested() && !m_isAborted;
+    if (!response || hasLeft || error) {
         co_return false;
     }
     const bool isKept = wantsKeepAlive && !m_listener->m_isClosing;
@@ -194,6 +200,19 @@
     co_return !error && isKept;
 }
 
+/** Tells the client why its message could not be read. A connection that has just ended gets no answer. */
+Task<void> HttpListener::Session::rejectUnreadable(ErrorCode error)
+{
+    if (error == http::error::header_limit) {
+        co_await reject(http::status::request_header_fields_too_large);
+    } else if (error == http::error::body_limit) {
+        co_await reject(http::status::payload_too_large);
+    } else if (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+               && error != http::error::partial_message) {
+        co_await reject(http::status::bad_request);
+    }
+}
+
 Task<void> HttpListener::Session::reject(http::status status)
 {
     HttpResponse response(status, 11);
@@ -273,6 +292,14 @@
     }
 }
 
+void HttpListener::abortRequests()
+{
+    const auto sessions = m_sessions;
+    for (const std::shared_ptr<Session> &session : sessions) {
+        session->abort();
+    }
+}
+
 void HttpListener::close()
 {
     ErrorCode ignored; // nothing is left to do if the port can't be closed
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -51,6 +51,9 @@
         m_isClosing = true;
     }
 
+    /** Ends the work on all requests; they are answered with what is known. For the end of the process. */
+    void abortRequests();
+
     /** Closes the port and the connections that have no request. */
     void close();
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -46,8 +46,10 @@
     static constexpr Duration TickInterval = std::chrono::milliseconds(50);
     /** Heartbeats that a backend server may miss. */
     static constexpr int MissedHeartbeats = 3;
-    /** Part of the grace period after which the process ends, with requests in progress or not. */
-    static constexpr double GraceShare = 0.9;
+    /** Part of the grace period after which requests in progress are ended and answered. */
+    static constexpr double AbortShare = 0.86;
+    /** Part of the grace period after which the process ends in any case. */
+    static constexpr double GraceShare = 0.93;
     /** Time after a stop for which callers that have not noticed it are served. Later requests might not finish in time. */
     static constexpr Duration StopLinger = std::chrono::milliseconds(2500);
 
@@ -293,9 +295,13 @@
     void checkStop()
     {
         const Duration since = SteadyClock().now() - *m_stoppedAt;
-        const auto grace = std::chrono::duration<double>(m_settings.gracePeriod) * GraceShare;
+        const auto grace = std::chrono::duration<double>(m_settings.gracePeriod);
         const bool isDrained = activeRequests() == 0 && since >= StopLinger;
-        if (isDrained || since >= grace) {
+        if (since >= grace * AbortShare) {
+            m_callerPort->abortRequests();
+            m_peerPort->abortRequests();
+        }
+        if (isDrained || since >= grace * GraceShare) {
             EventLog::write(LogLevel::Info, Event::DaemonStopped, { { "cause", isDrained ? "drained" : "drain-limit" } });
             m_loop.stop();
         }
--- /dev/null
+++ b/tests/process/backendgatetest.cpp
@@ -0,0 +1,115 @@
+#include "fakeclock.h"
+
+#include <carobjunction/process/backendgate.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+Heartbeat beat(const std::string &id, uint64_t born, uint64_t sequence, bool draining = false)
+{
+    Heartbeat result;
+    result.id = id;
+    result.bornMs = born;
+    result.service = "ordering";
+    result.slots = 9;
+    result.sequence = sequence;
+    result.draining = draining;
+    return result;
+}
+
+} // namespace
+
+struct BackendGateFixture {
+    FakeClock clock;
+    BackendGate gate { 3s };
+};
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.noHeartbeatYet.isClosed")
+{
+    // Guards against work for a leaving server after a restart of the daemon.
+    CHECK_FALSE(gate.isOpen());
+    CHECK(gate.onHeartbeat(beat("a", 1, 1), clock.now()) == HeartbeatEffect::Changed);
+    CHECK(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.laterReadyHeartbeatOfALeavingProcess.staysClosed")
+{
+    gate.onHeartbeat(beat("a", 1, 1), clock.now());
+    gate.onHeartbeat(beat("a", 1, 2, true), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    gate.onHeartbeat(beat("a", 1, 3), clock.now());
+    CHECK_FALSE(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveWithoutDraining.staysClosed")
+{
+    gate.onHeartbeat(beat("a", 1, 1), clock.now());
+    CHECK(gate.onLeave("a"));
+    gate.onHeartbeat(beat("a", 1, 2), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    CHECK(gate.record().state == BackendState::Gone);
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.delayedHeartbeatOfAFormerProcess.changesNothing")
+{
+    // Guards against a beat held up by a partition that arrives after its sender crashed and another process registered.
+    gate.onHeartbeat(beat("a", 1, 1), clock.now());
+    gate.onHeartbeat(beat("b", 5, 1, true), clock.now());
+    CHECK(gate.onHeartbeat(beat("a", 1, 9), clock.now()) == HeartbeatEffect::Stale);
+    CHECK_FALSE(gate.isOpen());
+    CHECK(gate.record().id == "b");
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.sameIdWithALaterBirth.opensAgain")
+{
+    gate.onHeartbeat(beat("a", 1, 7), clock.now());
+    gate.onLeave("a");
+    CHECK(gate.onHeartbeat(beat("a", 2, 1), clock.now()) == HeartbeatEffect::Changed);
+    CHECK(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.silence.closesUntilTheNextHeartbeat")
+{
+    gate.onHeartbeat(beat("a", 1, 1), clock.now());
+    clock.advance(3s);
+    CHECK_FALSE(gate.checkSilence(clock.now()));
+    clock.advance(1ms);
+    CHECK(gate.checkSilence(clock.now()));
+    CHECK_FALSE(gate.isOpen());
+    gate.onHeartbeat(beat("a", 1, 2), clock.now());
+    CHECK(gate.isOpen());
+}
+
+TEST_CASE("BackendGate.randomMessages.neverOpenForAProcessThatLeft")
+{
+    CHECK(rc::check([] {
+        FakeClock clock;
+        BackendGate gate(3s);
+        std::set<uint64_t> left;
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int i = 0; i < steps; ++i) {
+            const uint64_t born = *rc::gen::inRange(1, 4);
+            const std::string id = "p" + std::to_string(born);
+            const int kind = *rc::gen::inRange(0, 4);
+            if (kind == 0) {
+                if (gate.record().id == id) {
+                    left.insert(born);
+                }
+                gate.onLeave(id);
+            } else {
+                const bool draining = kind == 1;
+                const auto effect = gate.onHeartbeat(beat(id, born, *rc::gen::inRange(1, 20), draining), clock.now());
+                if (draining && effect != HeartbeatEffect::Stale) {
+                    left.insert(born);
+                }
+            }
+            RC_ASSERT(!(gate.isOpen() && left.count(gate.record().bornMs) > 0));
+        }
+    }));
+}
--- /dev/null
+++ b/tests/process/retryledgertest.cpp
@@ -0,0 +1,75 @@
+#include "fakeclock.h"
+
+#include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/retryledger.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+TEST_CASE("RetryLedger.manyDaemonsUnderARejectingService.stayWithinTheSharedAllowance")
+{
+    // Pattern: all targets of a service shed, and each daemon repeats as much as it may. Broke the budget on the first score.
+    CHECK(rc::check([] {
+        const RetryAllowance allowance { 0.2, 64, 10s };
+        const size_t daemons = *rc::gen::inRange(1, 20);
+        FakeClock clock;
+        std::vector<RetryLedger> ledgers(daemons, RetryLedger(allowance));
+        for (RetryLedger &ledger : ledgers) {
+            ledger.setDaemons(daemons);
+        }
+        const int requests = *rc::gen::inRange(0, 600);
+        int repeats = 0;
+        for (int i = 0; i < requests; ++i) {
+            RetryLedger &ledger = ledgers[static_cast<size_t>(i) % daemons];
+            ledger.onRequest("dispatch", clock.now());
+            repeats += ledger.tryRepeat("dispatch", clock.now()) ? 1 : 0;
+            clock.advance(5ms);
+        }
+        RC_ASSERT(repeats <= allowance.ratio * requests + allowance.slack);
+    }));
+}
+
+TEST_CASE("RetryLedger.windowPasses.allowsAgain")
+{
+    FakeClock clock;
+    RetryLedger ledger({ 0, 10, 10s });
+    int repeats = 0;
+    while (ledger.tryRepeat("dispatch", clock.now())) {
+        ++repeats;
+    }
+    CHECK(repeats == 6);
+    clock.advance(10s + 1ms);
+    CHECK(ledger.tryRepeat("dispatch", clock.now()));
+    CHECK(ledger.tryRepeat("ordering", clock.now()));
+}
+
+TEST_CASE("CrashHistory.sameRequestAtTwoCrashes.isCondemned")
+{
+    FakeClock clock;
+    CrashHistory history;
+    CHECK(history.add({ 7, "a@1" }, clock.now()));
+    CHECK_FALSE(history.add({ 7, "a@1" }, clock.now()));
+    CHECK_FALSE(history.isCondemned(7));
+    CHECK(history.add({ 7, "b@1" }, clock.now()));
+    CHECK(history.isCondemned(7));
+    CHECK_FALSE(history.isCondemned(8));
+}
+
+TEST_CASE("CrashHistory.recentReports.areBounded")
+{
+    FakeClock clock;
+    CrashHistory history;
+    for (uint64_t i = 0; i < 50; ++i) {
+        history.add({ i, "a@1" }, clock.now());
+        clock.advance(100ms);
+    }
+    const auto reports = history.recent(clock.now() - 2s, 10);
+    REQUIRE(reports.size() == 10);
+    CHECK(reports.back().fingerprint == 49);
+    clock.advance(CrashHistory::Retention * 2);
+    history.add({ 99, "a@1" }, clock.now());
+    CHECK(history.recent(TimePoint {}, 100).size() == 1);
+}
--- /dev/null
+++ b/tests/process/slotqueuetest.cpp
@@ -0,0 +1,131 @@
+#include "fakeclock.h"
+
+#include <carobjunction/process/slotqueue.h>
+
+#include <catch2/catch.hpp>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+struct SlotQueueFixture {
+    SlotQueueFixture()
+    {
+        queue.setLimit(2, 3);
+        for (int i = 0; i < 60; ++i) {
+            queue.observeWork(100ms);
+        }
+    }
+
+    SlotRequest request(uint32_t priority, Duration aim, Duration deadline, Duration work = 100ms) const
+    {
+        return { priority, clock.now() + aim, clock.now() + deadline, work, true };
+    }
+
+    SlotQueue::Decision offer(const SlotRequest &wanted, const std::string &name = "")
+    {
+        return queue.offer(wanted, clock.now(), [this, name](SlotEnd end) {
+            if (end == SlotEnd::Granted) {
+                granted.push_back(name);
+            } else {
+                ended.push_back(name);
+            }
+        });
+    }
+
+    void fill()
+    {
+        REQUIRE(offer(request(1, 1s, 2s)).isGranted);
+        REQUIRE(offer(request(1, 1s, 2s)).isGranted);
+    }
+
+    FakeClock clock;
+    SlotQueue queue;
+    std::vector<std::string> granted;
+    std::vector<std::string> ended;
+};
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.allSlotsTaken.queuesOnlyWhatMayWait")
+{
+    fill();
+    SlotRequest wanted = request(1, 1s, 2s);
+    wanted.mayQueue = false;
+    const auto refused = offer(wanted);
+    CHECK(refused.reason == Reason::Full);
+    CHECK(refused.retryAfter > 0ms);
+    wanted.mayQueue = true;
+    CHECK(offer(wanted).ticket.has_value());
+    CHECK(queue.use().waiting == 1);
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.shortCallOfATarget.takesASlotBeyondTheLimit")
+{
+    // Pattern: calls made by targets wait behind long work until their parents fail and the parents' work is lost.
+    fill();
+    CHECK_FALSE(offer(request(1, 100ms, 250ms, 60ms)).isGranted);
+    CHECK(offer(request(1, 100ms, 250ms, 20ms)).isGranted);
+    CHECK_FALSE(offer(request(1, 100ms, 250ms, 20ms)).isGranted);
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.release.grantsTheMostUrgentInGoodTime")
+{
+    // Pattern: a burst in which the less urgent kind arrives first.
+    fill();
+    offer(request(2, 500ms, 2s), "lookup");
+    offer(request(1, 800ms, 2s), "order");
+    offer(request(1, 600ms, 2s), "earlier order");
+    queue.release(clock.now());
+    queue.release(clock.now());
+    queue.release(clock.now());
+    CHECK(granted == std::vector<std::string> { "earlier order", "order", "lookup" });
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.lateRequest.givesWayToOneInGoodTime")
+{
+    // Pattern: overload; late work must not displace work that can still be in time.
+    fill();
+    offer(request(1, 150ms, 2s), "becomes late");
+    clock.advance(100ms);
+    offer(request(2, 400ms, 2s), "in time");
+    queue.release(clock.now());
+    CHECK(granted == std::vector<std::string> { "in time" });
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.noChanceBeforeTheDeadline.refusesAtOnce")
+{
+    fill();
+    CHECK(offer(request(1, 80ms, 90ms)).reason == Reason::DeadlineTooShort);
+    CHECK(queue.use().waiting == 0);
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.deadlineApproaches.endsTheWait")
+{
+    fill();
+    offer(request(1, 300ms, 400ms), "short of time");
+    clock.advance(299ms);
+    queue.expire(clock.now());
+    CHECK(ended.empty());
+    clock.advance(2ms);
+    queue.expire(clock.now());
+    CHECK(ended == std::vector<std::string> { "short of time" });
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.overload.boundsTheLateOnes")
+{
+    fill();
+    int queued = 0;
+    for (int i = 0; i < 50; ++i) {
+        queued += offer(request(2, 50ms, 60s)).ticket ? 1 : 0;
+    }
+    CHECK(queued <= 2);
+}
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.closed.endsAllWaits")
+{
+    fill();
+    offer(request(1, 1s, 2s), "a");
+    const auto b = offer(request(1, 1s, 2s), "b");
+    queue.withdraw(*b.ticket);
+    queue.closeAll();
+    CHECK(ended == std::vector<std::string> { "a" });
+    CHECK(queue.use().waiting == 0);
+}
--- /dev/null
+++ b/tests/process/vmdirectorytest.cpp
@@ -0,0 +1,137 @@
+#include "fakeclock.h"
+
+#include <carobjunction/process/vmdirectory.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+VmRecord vm(const std::string &daemon, const std::string &dataCentre, const std::string &region, uint64_t revision = 1)
+{
+    VmRecord record;
+    record.daemon = daemon;
+    record.incarnation = 1;
+    record.revision = revision;
+    record.address = "10.0.0.1:1";
+    record.dataCentre = dataCentre;
+    record.region = region;
+    record.backend = { daemon + "-backend", 1, "ordering", 9, BackendState::Ready };
+    return record;
+}
+
+} // namespace
+
+struct VmDirectoryFixture {
+    VmDirectoryFixture()
+    {
+        directory.merge(vm("near", "pil-a", "pilbara"));
+        directory.merge(vm("next", "sw-a", "pilbara"));
+        directory.merge(vm("far", "mid-a", "midwest"));
+    }
+
+    std::optional<std::string> choose(TargetScope scope, std::set<std::string> excluded = {}, bool withAvoided = false)
+    {
+        return directory.choose({ "ordering", 100ms, std::move(excluded), scope, withAvoided }, clock.now(), [] { return 0.0; });
+    }
+
+    void report(const std::string &daemon, uint32_t running, double slowness = 1)
+    {
+        directory.onReport(daemon, { running, 0, 7, slowness, false }, clock.now());
+    }
+
+    FakeClock clock;
+    VmDirectory directory { "self", { "pil-a", "pilbara" } };
+};
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.idleTargets.nearestWins")
+{
+    CHECK(choose(TargetScope::Anywhere) == "near");
+    CHECK(choose(TargetScope::Anywhere, { "near" }) == "next");
+    CHECK(choose(TargetScope::Anywhere, { "near", "next" }) == "far");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.fullRegion.hasNoRoomButAnotherRegionHas")
+{
+    // Pattern: a burst in one region, while traffic to the other is billed by volume.
+    report("near", 7);
+    report("next", 7);
+    report("far", 2);
+    CHECK(choose(TargetScope::RegionWithRoom) == std::nullopt);
+    CHECK(choose(TargetScope::OtherRegionWithRoom) == "far");
+    CHECK(choose(TargetScope::Region).has_value());
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.noisyNeighbour.isPassedOverWhileTheReportIsFresh")
+{
+    // Pattern: work on a VM takes five times as long for a moment.
+    report("near", 0, 5);
+    report("next", 0);
+    CHECK(choose(TargetScope::RegionWithRoom) == "next");
+    clock.advance(VmDirectory::SlownessAge);
+    CHECK(choose(TargetScope::RegionWithRoom) == "near");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.sentSinceTheReport.countsAsLoad")
+{
+    // Guards against a herd: all requests between two reports going to the same target.
+    report("near", 0);
+    for (int i = 0; i < 7; ++i) {
+        directory.onSent("near");
+    }
+    CHECK(choose(TargetScope::RegionWithRoom) == "next");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.failuresInARow.avoidTheTargetForATime")
+{
+    // Pattern: a target that fails its requests while its health check is good.
+    directory.onEnded("near", true, clock.now());
+    directory.onEnded("near", true, clock.now());
+    CHECK(choose(TargetScope::Region) == "next");
+    CHECK(choose(TargetScope::Region, { "next" }) == std::nullopt);
+    CHECK(choose(TargetScope::Region, { "next" }, true) == "near");
+    clock.advance(VmDirectory::AvoidAfterFailure);
+    CHECK(choose(TargetScope::Region, { "next" }) == "near");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.unreachableDaemon.isAvoidedAtOnce")
+{
+    directory.onUnreachable("near", clock.now());
+    CHECK(choose(TargetScope::Region) == "next");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.targetThatDoesNotAccept.isNeverChosen")
+{
+    VmRecord leaving = vm("near", "pil-a", "pilbara", 2);
+    leaving.backend.state = BackendState::Draining;
+    directory.merge(leaving);
+    VmRecord stopping = vm("next", "sw-a", "pilbara", 2);
+    stopping.stopping = true;
+    directory.merge(stopping);
+    CHECK(choose(TargetScope::Anywhere, {}, true) == "far");
+    VmRecord other = vm("far", "mid-a", "midwest", 2);
+    other.backend.service = "dispatch";
+    directory.merge(other);
+    CHECK(choose(TargetScope::Anywhere, {}, true) == std::nullopt);
+}
+
+TEST_CASE("VmDirectory.recordsInAnyOrder.endWithTheNewest")
+{
+    CHECK(rc::check([](std::vector<std::pair<uint8_t, uint8_t>> versions) {
+        VmDirectory directory("self", { "a", "r" });
+        std::pair<uint64_t, uint64_t> newest { 0, 0 };
+        for (const auto &[incarnation, revision] : versions) {
+            VmRecord record = vm("x", "a", "r", revision);
+            record.incarnation = incarnation;
+            directory.merge(record);
+            newest = directory.all().size() == 1 && newest == std::pair<uint64_t, uint64_t> { 0, 0 } ? std::pair<uint64_t, uint64_t>(incarnation, revision)
+                                                                                                    : std::max(newest, std::pair<uint64_t, uint64_t>(incarnation, revision));
+            const VmRecord &held = directory.find("x")->record;
+            RC_ASSERT((std::pair<uint64_t, uint64_t>(held.incarnation, held.revision) == newest));
+        }
+    }));
+}
--- /dev/null
+++ b/tests/request/requestroutertest.cpp
@@ -0,0 +1,227 @@
+#include "request/requestrouter.h"
+
+#include "connection/messagefields.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServedHeaders Headers { "Request-Id", "Time-Left", "Seal", "Expected", "Not-Executed", "Load", "Caller", "Backend" };
+
+ForwardResult answered(int status)
+{
+    ForwardResult result;
+    result.outcome = Outcome::Ran;
+    result.reachedBackend = true;
+    result.response = HttpResponse(static_cast<http::status>(status), 11);
+    result.serviceTime = 50ms;
+    return result;
+}
+
+ForwardResult rejectedByBackend()
+{
+    ForwardResult result = ForwardResult::notRun(Reason::Shed);
+    result.reachedBackend = true;
+    return result;
+}
+
+} // namespace
+
+struct RequestRouterFixture {
+    RequestRouterFixture()
+    {
+        HostRoute lookup;
+        lookup.name = "lookup";
+        lookup.host = "a.example";
+        lookup.prefix = "/lookup/";
+        lookup.idempotent = true;
+        lookup.attempts = 2;
+        lookup.timeout = 2s;
+        lookup.parts = { { "ordering", 1 } };
+        HostRoute order = lookup;
+        order.name = "order";
+        order.prefix = "/order/";
+        order.idempotent = false;
+        HostRoute split = lookup;
+        split.name = "split";
+        split.prefix = "/split/";
+        split.parts = { { "ordering", 90 }, { "dispatch", 10 } };
+        routes = RouteTable::create(3, { lookup, order, split }, {}, {});
+        for (const char *daemon : { "vm-1", "vm-2", "vm-3" }) {
+            VmRecord record;
+            record.daemon = daemon;
+            record.address = "10.0.0.1:1";
+            record.dataCentre = "pil-a";
+            record.region = "pilbara";
+            record.backend = { std::string(daemon) + "-backend", 1, "ordering", 9, BackendState::Ready };
+            directory.merge(record);
+        }
+    }
+
+    Task<ForwardResult> forward(std::string daemon, ForwardRequest request)
+    {
+        sentTo.push_back(daemon);
+        lastRequest = std::move(request);
+        if (script.empty()) {
+            co_return answered(200);
+        }
+        ForwardResult next = std::move(script.front());
+        script.pop_front();
+        co_return next;
+    }
+
+    HttpResponse call(const std::string &path, http::verb method = http::verb::get)
+    {
+        HttpRequest message(method, path, 11);
+        message.set(http::field::host, "a.example");
+        message.set("Request-Id", "r1");
+        message.set("Time-Left", "1000");
+        MaybeResponse response;
+        asio::co_spawn(
+            loop,
+            [&]() -> Task<void> { response = co_await router.handle(message, std::make_shared<Cancellation>()); },
+            asio::detached);
+        loop.restart();
+        loop.run();
+        REQUIRE(response.has_value());
+        return *response;
+    }
+
+    asio::io_context loop;
+    std::shared_ptr<const RouteTable> routes;
+    VmDirectory directory { "vm-1", { "pil-a", "pilbara" } };
+    RetryLedger ledger { { 0.2, 100, 10s } };
+    CrashHistory crashes;
+    WorkEstimates work;
+    std::deque<ForwardResult> script;
+    std::vector<std::string> sentTo;
+    ForwardRequest lastRequest;
+    RequestRouter router { { [this] { return routes; },
+                             [this](std::string daemon, ForwardRequest request, CancellationPtr) { return forward(std::move(daemon), std::move(request)); },
+                             "ordering" },
+                           Headers,
+                           directory,
+                           ledger,
+                           crashes,
+                           work };
+};
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.answer.isPassedOn")
+{
+    const HttpResponse response = call("/lookup/1?x=2");
+    CHECK(response.result_int() == 200);
+    CHECK(fieldText(response, "Request-Id") == "r1");
+    CHECK(lastRequest.message.target() == "/lookup/1?x=2");
+    CHECK(lastRequest.callerService == "ordering");
+    CHECK(lastRequest.backend == sentTo.front() + "-backend");
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.noConfiguration.refusesWithRetryAfter")
+{
+    routes = nullptr;
+    const HttpResponse response = call("/lookup/1");
+    CHECK(response.result_int() == 503);
+    CHECK(hasField(response, "Retry-After"));
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.unknownRoute.answers404")
+{
+    CHECK(call("/nowhere/").result_int() == 404);
+    CHECK(sentTo.empty());
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.lostAnswerOfAnOrder.isNeitherRepeatedNorCalledNotRun")
+{
+    // Guards against an order that runs twice, and against a false "not run".
+    script.push_back(ForwardResult::unknown(Reason::AnswerLost));
+    CHECK(call("/order/1", http::verb::post).result_int() == 502);
+    CHECK(sentTo.size() == 1);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.refusalAfterALostAnswer.isNotCalledNotRun")
+{
+    script.push_back(ForwardResult::unknown(Reason::AnswerLost));
+    script.push_back(rejectedByBackend());
+    CHECK(call("/lookup/1").result_int() == 502);
+    CHECK(sentTo.size() == 2);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.lostAnswerOfALookup.isSentToAnotherTarget")
+{
+    script.push_back(ForwardResult::unknown(Reason::AnswerLost));
+    CHECK(call("/lookup/1").result_int() == 200);
+    REQUIRE(sentTo.size() == 2);
+    CHECK(sentTo[0] != sentTo[1]);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.attemptsOfTheRoute.areTheMost")
+{
+    for (int i = 0; i < 3; ++i) {
+        script.push_back(ForwardResult::unknown(Reason::AnswerLost));
+    }
+    CHECK(call("/lookup/1").result_int() == 502);
+    CHECK(sentTo.size() == 2);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.refusedOrder.goesToAnotherTarget")
+{
+    script.push_back(ForwardResult::notRun(Reason::Leaving));
+    script.push_back(ForwardResult::notRun(Reason::PeerUnreachable));
+    CHECK(call("/order/1", http::verb::post).result_int() == 200);
+    CHECK(sentTo.size() == 3);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.allTargetsFull.refusesWithTheirWait")
+{
+    for (int i = 0; i < 6; ++i) {
+        script.push_back(ForwardResult::notRun(Reason::Full, 700ms));
+    }
+    const HttpResponse response = call("/order/1", http::verb::post);
+    CHECK(response.result_int() == 503);
+    CHECK(fieldText(response, "Retry-After") == "0.70");
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.sheddingService.staysWithinTheLedger")
+{
+    // Pattern: every target of a service rejects what arrives; each rejected arrival counts. Broke BUDGET on both scale-1 days.
+    ledger.setAllowance({ 0, 0, 10s });
+    script.push_back(rejectedByBackend());
+    CHECK(call("/lookup/1").result_int() == 503);
+    CHECK(sentTo.size() == 1);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.failureOfTheBackendServer.isPassedOnWhenNothingBetterComes")
+{
+    ledger.setAllowance({ 0, 0, 10s });
+    script.push_back(answered(500));
+    CHECK(call("/lookup/1").result_int() == 500);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.condemnedRequest.isRefusedBeforeAnyTarget")
+{
+    REQUIRE(call("/lookup/1").result_int() == 200);
+    crashes.add({ lastRequest.fingerprint, "a" }, TimePoint {});
+    crashes.add({ lastRequest.fingerprint, "b" }, TimePoint {});
+    sentTo.clear();
+    CHECK(call("/lookup/1").result_int() == 503);
+    CHECK(sentTo.empty());
+    CHECK(call("/lookup/2").result_int() == 200);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.splitRoute.keepsTheWeights")
+{
+    int toDispatch = 0;
+    for (int i = 0; i < 100; ++i) {
+        call("/split/1");
+        toDispatch += lastRequest.service == "dispatch" || sentTo.empty() ? 1 : 0;
+        sentTo.clear();
+    }
+    CHECK(toDispatch >= 9);
+    CHECK(toDispatch <= 11);
+}
