Learn by alternation whether the last slots of a service pay

Change: SlotTuner compares the time of the same kinds of work under both limits; daemons share what they learn by gossip. Admission refuses by half of the usual work, not by all of it; the retry allowance spent falls to 0.45.

--- a/include/carobjunction/process/retryledger.h
+++ b/include/carobjunction/process/retryledger.h
@@ -25,7 +25,7 @@
 {
 public:
     /** Part of the allowance that is spent; the rest covers calls made by repeated runs, which count at the service called. */
-    static constexpr double SpentShare = 0.6;
+    static constexpr double SpentShare = 0.45;
 
     explicit RetryLedger(const RetryAllowance &allowance) : m_allowance(allowance)
     {
--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -59,23 +59,20 @@
 
     /** Late requests that may wait at once, as a share of the limit. */
     static constexpr double LateShare = 0.5;
-    /** Part of the time to the deadline that a prediction may use, since predictions err. */
-    static constexpr double DeadlineMargin = 0.9;
-
-    /**
-     * Work that is this many times shorter than usual may use the slots beyond the limit: other requests, at work in other
-     * targets, wait for it, and it slows its neighbours only for a moment.
-     */
+    /** Work that takes this many times less than usual counts as short. */
     static constexpr int ShortWorkRatio = 3;
+    /** Part of the usual time of work that must be left before the deadline. Half of all work takes less than two thirds of the mean. */
+    static constexpr double LeastWorkShare = 0.5;
 
     /**
-     * @param limit  requests that may run at once
-     * @param slots  requests that may run at once if those beyond the limit are short; at least @p limit
+     * @param slots  requests that the backend server runs at once
+     * @param limit  requests that may run at once; short work may use the slots beyond, since its callers, at work in other
+     *               targets, hold slots while they wait for it
      */
-    void setLimit(uint32_t limit, uint32_t slots)
+    void setLimit(uint32_t slots, uint32_t limit)
     {
-        m_limit = limit;
         m_slots = slots;
+        m_limit = limit;
     }
 
     /** @param waiter  called once if the request has to wait; not called after withdraw() */
@@ -108,12 +105,13 @@
 
     Duration predictedWait(size_t ahead) const;
     size_t countAhead(const SlotRequest &request, TimePoint now) const;
+    bool isShort(const SlotRequest &request) const;
     bool hasSlotFor(const SlotRequest &request) const;
     Iterator best(TimePoint now);
     void grantNext(TimePoint now);
 
-    uint32_t m_limit = 1;
     uint32_t m_slots = 1;
+    uint32_t m_limit = 1;
     uint32_t m_running = 0;
     Ticket m_lastTicket = 0;
     std::list<Waiting> m_waiting;
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carobjunction/process/clock.h>
+#include <carobjunction/process/slottuner.h>
 #include <carobjunction/process/vmrecord.h>
 
 #include <functional>
@@ -20,6 +21,7 @@
     uint32_t limit = 0; /**< Requests that may run at once. */
     double slowness = 1; /**< How long work takes on the VM at this moment; 1 means as usual. */
     bool cold = false; /**< The backend server is slow because it started a short time ago. */
+    SlotEvidence slots; /**< Whether its last slots pay. Sent by gossip only. */
 };
 
 /** A VM as this daemon knows it: its record, its last load report, and what calls to it have shown. */
@@ -94,6 +96,9 @@
     /** The daemon could not be reached. */
     void onUnreachable(const std::string &daemon, TimePoint now);
 
+    /** @return what the other targets of a service have learned about its slots */
+    SlotEvidence slotEvidence(const std::string &service) const;
+
     /** A sign of life of the daemon. */
     void onAlive(const std::string &daemon);
 
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -12,6 +12,11 @@
 
 constexpr double Percent = 100;
 
+uint32_t toPercent(double value)
+{
+    return static_cast<uint32_t>(value * Percent);
+}
+
 } // namespace
 
 // Fields are sent by position, since datagrams between regions are billed by volume.
@@ -21,13 +26,15 @@
     for (const CrashReport &crash : crashes) {
         crashList.push_back({ crash.fingerprint, crash.backend });
     }
+    const SlotEvidence &slots = report.slots;
     const Json message { daemon,
                          incarnation,
                          revision,
                          peerAddress,
                          configVersion,
-                         { report.running, report.waiting, report.limit, static_cast<uint32_t>(report.slowness * Percent), report.cold },
-                         std::move(crashList) };
+                         { report.running, report.waiting, report.limit, toPercent(report.slowness), report.cold },
+                         std::move(crashList),
+                         { toPercent(slots.upper.value), slots.upper.answers, toPercent(slots.lower.value), slots.lower.answers } };
     const std::vector<uint8_t> bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
@@ -48,6 +55,9 @@
         message.report.limit = report.at(2).get<uint32_t>();
         message.report.slowness = report.at(3).get<uint32_t>() / Percent;
         message.report.cold = report.at(4).get<bool>();
+        const Json &slots = json.at(7);
+        message.report.slots.upper = { slots.at(0).get<uint32_t>() / Percent, slots.at(1).get<uint32_t>() };
+        message.report.slots.lower = { slots.at(2).get<uint32_t>() / Percent, slots.at(3).get<uint32_t>() };
         for (const Json &crash : json.at(6)) {
             message.crashes.push_back({ crash.at(0).get<uint64_t>(), crash.at(1).get<std::string>() });
         }
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -28,12 +28,22 @@
 
 } // namespace
 
+bool SlotQueue::isShort(const SlotRequest &request) const
+{
+    return request.work * ShortWorkRatio <= m_meanWork;
+}
+
+bool SlotQueue::hasSlotFor(const SlotRequest &request) const
+{
+    return m_running < (isShort(request) ? m_slots : m_limit);
+}
+
 Duration SlotQueue::predictedWait(size_t ahead) const
 {
     if (m_running < m_limit) {
         return Duration::zero();
     }
-    return scaled(m_meanWork, (static_cast<double>(ahead) + 0.5) / static_cast<double>(std::max<uint32_t>(m_limit, 1)));
+    return scaled(m_meanWork, (static_cast<double>(ahead) + 0.5) / static_cast<double>(m_limit));
 }
 
 size_t SlotQueue::countAhead(const SlotRequest &request, TimePoint now) const
@@ -42,21 +52,17 @@
         std::count_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &other) { return rank(other.request, now) <= rank(request, now); }));
 }
 
-bool SlotQueue::hasSlotFor(const SlotRequest &request) const
-{
-    return m_running < (request.work * ShortWorkRatio <= m_meanWork ? m_slots : m_limit);
-}
-
 SlotQueue::Decision SlotQueue::offer(const SlotRequest &request, TimePoint now, Waiter waiter)
 {
     Decision decision;
-    const Duration wait = hasSlotFor(request) ? Duration::zero() : predictedWait(countAhead(request, now));
+    const bool isFree = hasSlotFor(request);
+    const Duration wait = isFree ? Duration::zero() : predictedWait(countAhead(request, now));
     decision.retryAfter = std::max<Duration>(predictedWait(m_waiting.size()), std::chrono::milliseconds(50));
-    if (request.deadlineAt <= now || wait + request.work > scaled(request.deadlineAt - now, DeadlineMargin)) {
+    if (now + wait + scaled(request.work, LeastWorkShare) >= request.deadlineAt) {
         decision.reason = Reason::DeadlineTooShort;
         return decision;
     }
-    if (hasSlotFor(request)) {
+    if (isFree) {
         ++m_running;
         decision.isGranted = true;
         return decision;
@@ -86,8 +92,11 @@
 void SlotQueue::grantNext(TimePoint now)
 {
     expire(now);
-    while (m_running < m_limit && !m_waiting.empty()) {
+    while (!m_waiting.empty()) {
         const Iterator next = best(now);
+        if (!hasSlotFor(next->request)) {
+            return;
+        }
         const Waiter waiter = std::move(next->waiter);
         m_waiting.erase(next);
         ++m_running;
@@ -111,7 +120,7 @@
     std::list<Waiting> expired;
     for (Iterator it = m_waiting.begin(); it != m_waiting.end();) {
         const Iterator current = it++;
-        if (now + current->request.work > current->request.deadlineAt) {
+        if (now + scaled(current->request.work, LeastWorkShare) >= current->request.deadlineAt) {
             expired.splice(expired.end(), m_waiting, current);
         }
     }
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -4,7 +4,6 @@
 #include "process/suspension.h"
 
 #include <charconv>
-#include <cmath>
 
 namespace carobjunction
 {
@@ -63,13 +62,18 @@
 {
     const HeartbeatEffect effect = m_gate.onHeartbeat(beat, SteadyClock().now());
     if (effect == HeartbeatEffect::Changed) {
-        const auto limit = static_cast<uint32_t>(std::floor(beat.slots * UsedSlotShare + 0.001));
-        m_slots.setLimit(std::max<uint32_t>(limit, 1), std::max<uint32_t>(beat.slots, 1));
+        m_tuner.setSlots(beat.slots);
+        applyLimit();
         onRecordChanged();
     }
     return effect;
 }
 
+void TargetService::applyLimit()
+{
+    m_slots.setLimit(std::max<uint32_t>(m_gate.record().slots, 1), m_tuner.limit());
+}
+
 void TargetService::onLeave(const std::string &id)
 {
     if (m_gate.onLeave(id)) {
@@ -109,7 +113,7 @@
 TargetReport TargetService::report() const
 {
     const SlotUse use = m_slots.use();
-    return { use.running, use.waiting, use.limit, m_slowness, m_gate.isCold(SteadyClock().now()) };
+    return { use.running, use.waiting, use.limit, m_slowness, m_gate.isCold(SteadyClock().now()), m_tuner.evidence() };
 }
 
 std::optional<Reason> TargetService::reasonToRefuse(const ForwardRequest &request) const
@@ -201,6 +205,8 @@
     const uint64_t run = ++m_lastRun;
     m_inFlight.emplace(run, InFlight { request.fingerprint });
     const TimePoint start = SteadyClock().now();
+    const SlotTuner::Mark mark = m_tuner.onStart(m_slots.use().running);
+    applyLimit();
     ExchangeOptions options;
     options.deadline = request.deadlineAt + CloseMargin;
     options.connectTimeout = ConnectTimeout;
@@ -214,6 +220,7 @@
     if (result.outcome == Outcome::Ran) {
         m_slots.observeWork(result.serviceTime);
         m_work.observe(request.route, result.serviceTime);
+        m_tuner.onAnswer(mark, request.route, std::chrono::duration<double>(result.serviceTime).count());
     }
     if (end == ExchangeEnd::NotSent) {
         m_inFlight.erase(run); // it was not running, so it has no part in a crash
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/backendgate.h>
 #include <carobjunction/process/crashhistory.h>
 #include <carobjunction/process/slotqueue.h>
+#include <carobjunction/process/slottuner.h>
 
 #include "connection/httpclientpool.h"
 #include "process/eventlog.h"
@@ -29,9 +30,6 @@
 class TargetService
 {
 public:
-    /** Part of the slots that is used. Backend servers slow down when they are nearly full. */
-    static constexpr double UsedSlotShare = 0.8;
-
     /**
      * @param crashes  outlives this object
      * @param work  outlives this object
@@ -57,6 +55,12 @@
 
     TargetReport report() const;
 
+    /** Takes what the other targets of the service have learned about its slots. */
+    void learnSlots(const SlotEvidence &others)
+    {
+        m_tuner.setOthers(others);
+    }
+
     const BackendRecord &record() const
     {
         return m_gate.record();
@@ -71,6 +75,7 @@
     std::optional<Reason> reasonToRefuse(const ForwardRequest &request) const;
     Task<std::optional<ForwardResult>> waitForSlot(const ForwardRequest &request, CancellationPtr cancellation);
     Task<ForwardResult> dispatch(ForwardRequest request, CancellationPtr cancellation);
+    void applyLimit();
     HttpRequest toBackendMessage(ForwardRequest &request) const;
     ForwardResult classify(const ForwardRequest &request, ExchangeResult exchange);
     ForwardResult classifyAnswer(const ForwardRequest &request, HttpResponse response);
@@ -86,6 +91,7 @@
     TargetHooks m_hooks;
     BackendGate m_gate;
     SlotQueue m_slots;
+    SlotTuner m_tuner;
     std::map<uint64_t, InFlight> m_inFlight;
     uint64_t m_lastRun = 0;
     double m_slowness = 1;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -44,6 +44,8 @@
 public:
     /** Interval at which waits are checked and load is reported. */
     static constexpr Duration TickInterval = std::chrono::milliseconds(50);
+    /** Ticks between two looks at what the other daemons have learned. */
+    static constexpr uint32_t LearnTicks = 10;
     /** Heartbeats that a backend server may miss. */
     static constexpr int MissedHeartbeats = 3;
     /** Part of the grace period after which requests in progress are ended and answered. */
@@ -286,7 +288,10 @@
     void onTick()
     {
         m_target.checkTimes();
-        m_ledger.setDaemons(m_directory.all().size());
+        if (++m_ticks % LearnTicks == 0) {
+            m_ledger.setDaemons(m_directory.all().size());
+            m_target.learnSlots(m_directory.slotEvidence(m_target.record().service));
+        }
         if (m_stoppedAt) {
             checkStop();
         }
@@ -317,6 +322,7 @@
     ClusterSync<Platform> m_sync;
     RequestRouter m_router;
     asio::steady_timer m_tick;
+    uint32_t m_ticks = 0;
     std::shared_ptr<HttpListener> m_callerPort;
     std::shared_ptr<HttpListener> m_peerPort;
     std::shared_ptr<HttpListener> m_readyPort;
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -69,11 +69,24 @@
     if (found == m_vms.end()) {
         return;
     }
+    const SlotEvidence learned = report.slots.upper.answers + report.slots.lower.answers > 0 ? report.slots : found->second.report.slots;
     found->second.report = report;
+    found->second.report.slots = learned;
     found->second.reportedAt = now;
     found->second.sentSince = 0;
 }
 
+SlotEvidence VmDirectory::slotEvidence(const std::string &service) const
+{
+    SlotEvidence evidence;
+    for (const auto &[daemon, vm] : m_vms) {
+        if (!isSelf(daemon) && vm.record.backend.service == service) {
+            evidence.add(vm.report.slots);
+        }
+    }
+    return evidence;
+}
+
 void VmDirectory::onSent(const std::string &daemon)
 {
     const auto found = m_vms.find(daemon);
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -58,6 +58,7 @@
     std::set<std::string> queuedAt; /**< Daemons that refused even a wait. */
     uint32_t arrivals = 0; /**< Backend servers that the request reached. */
     uint32_t hops = 0;
+    Duration serviceTime = Duration::zero(); /**< Time at the last backend server. */
     bool mayHaveRun = false;
     Reason lastReason = Reason::NoTarget;
     std::optional<HttpResponse> failure; /**< A backend server's own failure, answered if nothing better comes. */
@@ -87,6 +88,8 @@
                       { "reason", std::string(nameOf(call.lastReason)) },
                       { "hops", std::to_string(call.hops) },
                       { "arrivals", std::to_string(call.arrivals) },
+                      { "backend", call.request.backend },
+                      { "workMs", msText(call.serviceTime) },
                       { "cancelled", cancellation->isRequested() ? "yes" : "no" },
                       { "ms", msText(SteadyClock().now() - call.startedAt) } });
     if (!call.request.requestId.empty()) {
@@ -262,6 +265,7 @@
     }
     call.arrivals += result.reachedBackend ? 1 : 0;
     call.lastReason = result.reason;
+    call.serviceTime = result.serviceTime;
     if (result.outcome != Outcome::Ran) {
         EventLog::write(LogLevel::Info,
                         Event::RetryDecided,
