--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <fcntl.h>
 
 namespace carobjunction
 {
@@ -39,6 +40,14 @@
         }
     }
 
+    void drop()
+    {
+        close();
+        if (m_cancellation) {
+            m_cancellation->request();
+        }
+    }
+
     void abort()
     {
         m_isAborted = true;
@@ -262,6 +271,8 @@
     if (error) {
         return nullptr;
     }
+    // A program that is started later must not keep the port open.
+    ::fcntl(listener->m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
     asio::co_spawn(
         loop, [listener]() -> Task<void> { co_await listener->accept(); }, asio::detached);
     return listener;
@@ -310,4 +321,12 @@
     }
 }
 
+void HttpListener::dropConnections()
+{
+    const auto sessions = m_sessions;
+    for (const std::shared_ptr<Session> &session : sessions) {
+        session->drop();
+    }
+}
+
 } // namespace carobjunction
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -57,6 +57,9 @@
     /** Closes the port and the connections that have no request. */
     void close();
 
+    /** Closes all connections, answered or not. */
+    void dropConnections();
+
     /** @return requests that are being answered */
     size_t activeRequests() const
     {
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -16,6 +16,8 @@
     TlsReloaded = 1006,
     TlsReloadFailed = 1007,
     PortUnavailable = 1008,
+    LinesDropped = 1009,
+    SettingsReloaded = 1010,
     // 2000: requests
     RouteDecided = 2001,
     AdmissionDecided = 2002,
@@ -75,6 +77,8 @@
         { Event::TlsReloaded, "tls-reloaded" },
         { Event::TlsReloadFailed, "tls-reload-failed" },
         { Event::PortUnavailable, "port-unavailable" },
+        { Event::LinesDropped, "lines-dropped" },
+        { Event::SettingsReloaded, "settings-reloaded" },
         { Event::RouteDecided, "route-decided" },
         { Event::AdmissionDecided, "admission-decided" },
         { Event::CallAnswered, "call-answered" },
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -1,5 +1,7 @@
 #include "process/eventlog.h"
 
+#include "process/standardoutputappender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -64,15 +66,29 @@
 
 } // namespace
 
-void EventLog::initialise(LogLevel level)
+namespace
+{
+
+void useAppender(log4cplus::SharedAppenderPtr appender, LogLevel level)
 {
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %m%n"));
     rootLogger().removeAllAppenders();
     rootLogger().addAppender(appender);
     rootLogger().setLogLevel(toLibraryLevel(level));
 }
 
+} // namespace
+
+void EventLog::initialise(LogLevel level)
+{
+    useAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)), level);
+}
+
+void EventLog::initialiseStandardOutput(LogLevel level)
+{
+    useAppender(log4cplus::SharedAppenderPtr(new StandardOutputAppender), level);
+}
+
 bool EventLog::isEnabled(LogLevel level)
 {
     return rootLogger().isEnabledFor(toLibraryLevel(level));
--- a/src/process/eventlog.h
+++ b/src/process/eventlog.h
@@ -34,7 +34,7 @@
     std::string value;
 };
 
-/** Writes one line an event to standard error. Thread-safe. */
+/** Writes one line an event. Thread-safe. */
 class EventLog
 {
 public:
@@ -44,6 +44,13 @@
      */
     static void initialise(LogLevel level);
 
+    /**
+     * Sends all lines to standard output, and drops lines rather than wait for a reader that is slow. Dropped lines are counted and
+     * reported as soon as there is room.
+     * @param level  lowest level written
+     */
+    static void initialiseStandardOutput(LogLevel level);
+
     /** @return whether lines of @p level are written, so that callers can skip building fields */
     static bool isEnabled(LogLevel level);
 
--- /dev/null
+++ b/src/process/standardoutputappender.cpp
@@ -0,0 +1,50 @@
+#include "process/standardoutputappender.h"
+
+#include "process/eventlog.h"
+
+#include <log4cplus/layout.h>
+
+#include <climits>
+#include <poll.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace carobjunction
+{
+
+StandardOutputAppender::~StandardOutputAppender()
+{
+    destructorImpl();
+}
+
+/** A pipe that polls as writable takes PIPE_BUF bytes at least without blocking. */
+bool StandardOutputAppender::hasRoom() const
+{
+    pollfd poll { m_descriptor, POLLOUT, 0 };
+    return ::poll(&poll, 1, 0) == 1 && (poll.revents & POLLOUT) != 0;
+}
+
+bool StandardOutputAppender::write(const std::string &text)
+{
+    return hasRoom() && ::write(m_descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+}
+
+void StandardOutputAppender::append(const log4cplus::spi::InternalLoggingEvent &event)
+{
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    std::string text = line.str();
+    if (text.size() > PIPE_BUF) {
+        text.resize(PIPE_BUF - 1);
+        text += '\n';
+    }
+    if (m_dropped > 0 && write(EventLog::format(Event::LinesDropped, { { "lines", std::to_string(m_dropped) } }) + "\n")) {
+        m_dropped = 0;
+    }
+    if (!write(text)) {
+        ++m_dropped;
+        ++m_droppedInAll;
+    }
+}
+
+} // namespace carobjunction
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -106,7 +106,8 @@
         m_ledger.setAllowance(RetryAllowance { settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow });
         m_settings.gracePeriod = settings.gracePeriod;
         m_settings.logLevel = settings.logLevel;
-        EventLog::initialise(settings.logLevel);
+        EventLog::initialiseStandardOutput(settings.logLevel);
+        EventLog::write(LogLevel::Info, Event::SettingsReloaded, { { "daemon", settings.daemon } });
     }
 
     /** Starts the graceful end: not ready any more, requests in progress finish. The loop stops when it is complete. */
@@ -197,6 +198,9 @@
             co_return ownAnswer(http::status::not_found, "unknown call");
         }
         const bool isReady = !m_stoppedAt && m_sync.routes() != nullptr;
+        if (isReady && !std::exchange(m_wasReady, true)) {
+            EventLog::write(LogLevel::Info, Event::DaemonReady, { { "config", std::to_string(m_sync.routes()->version()) } });
+        }
         co_return ownAnswer(isReady ? http::status::ok : http::status::service_unavailable, isReady ? "ready" : "not ready");
     }
 
@@ -328,6 +332,7 @@
     std::shared_ptr<HttpListener> m_readyPort;
     std::shared_ptr<HttpListener> m_operatorPort;
     std::optional<TimePoint> m_stoppedAt;
+    bool m_wasReady = false;
 };
 
 } // namespace carobjunction
--- /dev/null
+++ b/tests/platform/platformstandins.cpp
@@ -0,0 +1,192 @@
+#include "platform/platformstandins.h"
+
+#include "connection/messagefields.h"
+
+#include <regex>
+
+namespace carobjunction::platform
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr auto FeedPoll = std::chrono::milliseconds(10);
+
+std::shared_ptr<HttpListener> listen(asio::io_context &loop, RequestHandler handler)
+{
+    ErrorCode error;
+    auto listener = HttpListener::open(
+        loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), std::move(handler), [] { return ListenerLimits {}; }, error);
+    if (!listener) {
+        throw std::runtime_error(error.message());
+    }
+    return listener;
+}
+
+std::string addressOf(const HttpListener &listener)
+{
+    return "127.0.0.1:" + std::to_string(listener.address().port());
+}
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    std::smatch match;
+    return std::regex_search(target, match, std::regex("[?&]" + name + "=([^&]*)")) ? match[1].str() : "";
+}
+
+HttpResponse answer(http::status status, const Json &body)
+{
+    HttpResponse response(status, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = body.dump();
+    return response;
+}
+
+} // namespace
+
+StandInTableStore::StandInTableStore(asio::io_context &loop)
+    : m_loop(loop), m_listener(listen(loop, [this](HttpRequest request, CancellationPtr) { return handle(std::move(request)); }))
+{
+}
+
+std::string StandInTableStore::address() const
+{
+    return addressOf(*m_listener);
+}
+
+void StandInTableStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_rows[{ table, key }] = { value, ++m_version };
+}
+
+Task<MaybeResponse> StandInTableStore::handle(HttpRequest request)
+{
+    const std::string target(request.target().data(), request.target().size());
+    if (isDown) {
+        co_return ownAnswer(http::status::service_unavailable, "down");
+    }
+    if (target.starts_with("/v1/rows-get")) {
+        co_return get(target);
+    }
+    if (target.starts_with("/v1/rows-feed")) {
+        co_return co_await feed(target);
+    }
+    if (target.starts_with("/v1/rows-tx")) {
+        co_return transact(request);
+    }
+    co_return ownAnswer(http::status::not_found, "unknown call");
+}
+
+Json StandInTableStore::rowsOf(const std::string &table, uint64_t after) const
+{
+    Json rows = Json::array();
+    for (const auto &[key, row] : m_rows) {
+        if (key.first == table && row.version > after) {
+            rows.push_back({ { "table_name", table }, { "key", key.second }, { "value", row.value }, { "ver", row.version } });
+        }
+    }
+    return rows;
+}
+
+HttpResponse StandInTableStore::get(const std::string &target) const
+{
+    return answer(http::status::ok, { { "rows", rowsOf(parameter(target, "table_name"), 0) }, { "has_more", false }, { "ver", m_version }, { "now_ms", 1 } });
+}
+
+Task<HttpResponse> StandInTableStore::feed(std::string target)
+{
+    const uint64_t after = std::stoull(parameter(target, "after"));
+    const TimePoint end = SteadyClock().now() + std::chrono::milliseconds(std::stoull(parameter(target, "wait_ms")));
+    asio::steady_timer timer(m_loop);
+    while (SteadyClock().now() < end && !isDown) {
+        if (after < m_oldestWatch) {
+            co_return ownAnswer(http::status::gone, "history lost");
+        }
+        const Json rows = rowsOf(parameter(target, "table_name"), after);
+        if (!rows.empty()) {
+            co_return answer(http::status::ok, { { "rows", rows }, { "ver", m_version }, { "now_ms", 1 } });
+        }
+        timer.expires_after(FeedPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return answer(http::status::ok, { { "rows", Json::array() }, { "ver", std::max(after, m_version) }, { "now_ms", 1 } });
+}
+
+MaybeResponse StandInTableStore::transact(const HttpRequest &request)
+{
+    const Json body = Json::parse(request.body());
+    Json current = Json::array();
+    bool holds = true;
+    for (const Json &condition : body["precondition"]) {
+        const auto found = m_rows.find({ condition["table_name"], condition["key"] });
+        const uint64_t version = found == m_rows.end() ? 0 : found->second.version;
+        holds = holds && version == condition["ver"];
+        if (version != 0) {
+            current.push_back({ { "table_name", condition["table_name"] }, { "key", condition["key"] }, { "value", found->second.value }, { "ver", version } });
+        }
+    }
+    if (!holds) {
+        return answer(http::status::precondition_failed, { { "rows", current }, { "ver", m_version } });
+    }
+    ++m_version;
+    for (const Json &item : body["puts"]) {
+        m_rows[{ item["table_name"], item["key"] }] = { item["value"], m_version };
+    }
+    for (const Json &item : body["remove"]) {
+        m_rows.erase({ item["table_name"], item["key"] });
+    }
+    if (losesWrites) {
+        return std::nullopt;
+    }
+    return answer(http::status::ok, { { "ver", m_version }, { "now_ms", 1 } });
+}
+
+StandInBackend::StandInBackend(asio::io_context &loop, std::string backendId)
+    : id(std::move(backendId))
+    , m_loop(loop)
+    , m_listener(listen(loop, [this](HttpRequest request, CancellationPtr cancellation) { return handle(std::move(request), std::move(cancellation)); }))
+{
+}
+
+std::string StandInBackend::address() const
+{
+    return addressOf(*m_listener);
+}
+
+void StandInBackend::crash()
+{
+    m_listener->close();
+    m_listener->dropConnections();
+}
+
+Task<MaybeResponse> StandInBackend::handle(HttpRequest request, CancellationPtr cancellation)
+{
+    if (fieldText(request, "X-Expected-Instance") != id) {
+        co_return ownAnswer(http::status::misdirected_request, "another backend server");
+    }
+    if (sheds) {
+        HttpResponse response = ownAnswer(http::status::service_unavailable, "full");
+        response.set("X-Not-Executed", "1");
+        co_return response;
+    }
+    ran.push_back(request);
+    if (!crashingPath.empty() && request.target() == beast::string_view(crashingPath)) {
+        asio::post(m_loop, [this] { crash(); });
+        hangs = true;
+    }
+    asio::steady_timer timer(m_loop, hangs ? std::chrono::hours(1) : work);
+    const Cancellation::Registration registration(*cancellation, [&] { timer.cancel(); });
+    ErrorCode ignored; // the wait ends early when the client leaves
+    co_await timer.async_wait(into(ignored));
+    cancelled += cancellation->isRequested() ? 1 : 0;
+    HttpResponse response(http::status::ok, 11);
+    response.set("X-Attempt-Id", fieldText(request, "X-Attempt-Id"));
+    response.set("X-Response-Seal", "seal-of-" + id);
+    response.set("X-Server-Load", "1,0,9,100");
+    response.body() = "answer of " + id;
+    co_return response;
+}
+
+} // namespace carobjunction::platform
--- /dev/null
+++ b/tests/platform/platformstandins.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "connection/httplistener.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobjunction::platform
+{
+
+/** Stand-in for the table store of the users' platform, with its faults. */
+class StandInTableStore
+{
+public:
+    explicit StandInTableStore(asio::io_context &loop);
+
+    std::string address() const;
+
+    /** Writes a row as the operator does. */
+    void put(const std::string &table, const std::string &key, const std::string &value);
+
+    /** Forgets all changes up to now, so that watches from before fail. */
+    void forgetHistory()
+    {
+        m_oldestWatch = m_version;
+    }
+
+    bool isDown = false; /**< All calls are answered 503. */
+    bool losesWrites = false; /**< Writes are made, and the connection ends without an answer. */
+
+private:
+    struct Row {
+        std::string value;
+        uint64_t version = 0;
+    };
+    using Key = std::pair<std::string, std::string>;
+
+    Task<MaybeResponse> handle(HttpRequest request);
+    Task<HttpResponse> feed(std::string target);
+    HttpResponse get(const std::string &target) const;
+    MaybeResponse transact(const HttpRequest &request);
+    nlohmann::json rowsOf(const std::string &table, uint64_t after) const;
+
+    asio::io_context &m_loop;
+    std::shared_ptr<HttpListener> m_listener;
+    std::map<Key, Row> m_rows;
+    uint64_t m_version = 1;
+    uint64_t m_oldestWatch = 0;
+};
+
+/** Stand-in for a backend server of the users' platform. */
+class StandInBackend
+{
+public:
+    /** @param id  identity that it tells and expects */
+    StandInBackend(asio::io_context &loop, std::string id);
+
+    std::string address() const;
+
+    /** Ends as a crash does: the port and all connections close. */
+    void crash();
+
+    std::string id;
+    Duration work = std::chrono::milliseconds(5);
+    bool hangs = false; /**< Never answers. */
+    bool sheds = false; /**< Rejects all requests and says so. */
+    std::string crashingPath; /**< Requests for it end the backend server. */
+    std::vector<HttpRequest> ran; /**< Requests that it began to run. */
+    int cancelled = 0; /**< Requests whose connection closed while they ran. */
+
+private:
+    Task<MaybeResponse> handle(HttpRequest request, CancellationPtr cancellation);
+
+    asio::io_context &m_loop;
+    std::shared_ptr<HttpListener> m_listener;
+};
+
+} // namespace carobjunction::platform
--- a/tests/process/eventlogtest.cpp
+++ b/tests/process/eventlogtest.cpp
@@ -1,10 +1,15 @@
 #include "process/eventlog.h"
+#include "process/standardoutputappender.h"
 
 #include <catch2/catch.hpp>
+#include <log4cplus/layout.h>
+#include <log4cplus/loggingmacros.h>
 
+#include <array>
 #include <fstream>
 #include <regex>
 #include <sstream>
+#include <unistd.h>
 
 using namespace carobjunction;
 
@@ -34,3 +39,34 @@
     }
     CHECK(documented == inCode);
 }
+
+TEST_CASE("StandardOutputAppender.readerThatHasStopped.dropsAndCountsWithoutBlocking")
+{
+    // Guards against requests that wait for the reader of the log.
+    std::array<int, 2> pipe {};
+    REQUIRE(::pipe(pipe.data()) == 0);
+    log4cplus::SharedAppenderPtr appender(new StandardOutputAppender(pipe[1]));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    log4cplus::Logger logger = log4cplus::Logger::getInstance("flood");
+    logger.setAdditivity(false);
+    logger.addAppender(appender);
+    const auto start = std::chrono::steady_clock::now();
+    constexpr int Lines = 20'000;
+    for (int i = 0; i < Lines; ++i) {
+        LOG4CPLUS_ERROR(logger, "one line of a flood that nobody reads");
+    }
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
+    const uint64_t dropped = static_cast<StandardOutputAppender &>(*appender).droppedLines();
+    CHECK(dropped > 0);
+    CHECK(dropped < Lines);
+    std::string read(1U << 20U, '\0');
+    REQUIRE(::read(pipe[0], read.data(), read.size()) > 0);
+    LOG4CPLUS_ERROR(logger, "room again");
+    std::string rest(4096, '\0');
+    rest.resize(static_cast<size_t>(::read(pipe[0], rest.data(), rest.size())));
+    CHECK(rest.find("name=lines-dropped lines=" + std::to_string(dropped)) != std::string::npos);
+    CHECK(rest.find("room again") != std::string::npos);
+    logger.removeAllAppenders();
+    ::close(pipe[0]);
+    ::close(pipe[1]);
+}
