--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -9,6 +9,7 @@
 #include "connection/peerclients.h"
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
+#include "process/metrics.h"
 #include "process/tablestore.h"
 #include "process/vmrecordcodec.h"
 #include "process/vmsettings.h"
@@ -51,11 +52,12 @@
     static constexpr Duration CrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
 
-    ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes)
+    ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes, Metrics &metrics)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_crashes(crashes)
+        , m_metrics(metrics)
         , m_store(loop, toEndpoint(settings.storeAddress).value())
         , m_peers(loop)
         , m_reportTimer(loop)
@@ -152,6 +154,7 @@
 
     void onStoreFailure(const std::string &table)
     {
+        m_metrics.add(Counter::StoreFailures);
         const std::string reason(nameOf(LastReason<TableStoreError>::get()));
         if (std::exchange(m_isStoreReachable, false)) {
             EventLog::write(LogLevel::Warning, Event::StoreUnavailable, { { "table", table }, { "reason", reason } });
@@ -411,11 +414,13 @@
         const std::string datagram = message.encode();
         for (const Udp::endpoint &receiver : receivers) {
             m_datagrams->send(receiver, datagram);
+            m_metrics.add(Counter::GossipBytesSent, datagram.size());
         }
     }
 
     void onDatagram(std::string_view datagram)
     {
+        m_metrics.add(Counter::GossipBytesReceived, datagram.size());
         const auto message = GossipMessage::decode(datagram);
         if (!message || m_directory.isSelf(message->daemon)) {
             return;
@@ -472,6 +477,7 @@
     const VmSettings &m_settings;
     VmDirectory &m_directory;
     CrashHistory &m_crashes;
+    Metrics &m_metrics;
     TableStore<typename Platform::Dialect> m_store;
     PeerClients m_peers;
     std::shared_ptr<DatagramPort> m_datagrams;
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -69,7 +69,7 @@
 namespace
 {
 
-void useAppender(log4cplus::SharedAppenderPtr appender, LogLevel level)
+void useAppender(const log4cplus::SharedAppenderPtr &appender, LogLevel level)
 {
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %m%n"));
     rootLogger().removeAllAppenders();
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -32,6 +32,7 @@
     GossipBytesReceived,
     DispatchBytesCrossRegion,
     AnswersDiscarded,
+    StoreFailures,
     Count, /**< Number of counters. */
 };
 
@@ -56,6 +57,7 @@
         { Counter::GossipBytesReceived, "carobjunction_gossip_bytes_received_total" },
         { Counter::DispatchBytesCrossRegion, "carobjunction_dispatch_bytes_cross_region_total" },
         { Counter::AnswersDiscarded, "carobjunction_answers_discarded_total" },
+        { Counter::StoreFailures, "carobjunction_store_failures_total" },
     };
 };
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -42,6 +42,8 @@
 class VmDaemon
 {
 public:
+    /** Path of the figures on the operator port. */
+    static constexpr std::string_view MetricsPath = "/metrics";
     /** Interval at which waits are checked and load is reported. */
     static constexpr Duration TickInterval = std::chrono::milliseconds(50);
     /** Ticks between two looks at what the other daemons have learned. */
@@ -70,7 +72,7 @@
                                  [this](const CrashReport &report) {
                                      onCrash(report);
                                  } })
-        , m_sync(loop, m_settings, m_directory, m_crashes)
+        , m_sync(loop, m_settings, m_directory, m_crashes, m_metrics)
         , m_router(RouterEnvironment { [this] { return m_sync.routes(); },
                                        [this](std::string daemon, ForwardRequest request, CancellationPtr cancellation) {
                                            return forward(std::move(daemon), std::move(request), std::move(cancellation));
@@ -80,7 +82,8 @@
                    m_directory,
                    m_ledger,
                    m_crashes,
-                   m_work)
+                   m_work,
+                   m_metrics)
         , m_tick(loop)
     {
     }
@@ -206,6 +209,12 @@
 
     Task<MaybeResponse> handleControl(HttpRequest message, CancellationPtr)
     {
+        if (std::string_view(message.target().data(), message.target().size()) == MetricsPath) {
+            HttpResponse figures(http::status::ok, 11);
+            figures.set(http::field::content_type, "text/plain; version=0.0.4");
+            figures.body() = m_metrics.toPrometheus();
+            co_return figures;
+        }
         const auto call = Platform::decodeControlCall(message);
         if (!call) {
             co_return ownAnswer(http::status::not_found, "unknown call");
@@ -322,6 +331,7 @@
     RetryLedger m_ledger;
     CrashHistory m_crashes;
     WorkEstimates m_work;
+    Metrics m_metrics;
     TargetService m_target;
     ClusterSync<Platform> m_sync;
     RequestRouter m_router;
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -64,9 +64,14 @@
     std::optional<HttpResponse> failure; /**< A backend server's own failure, answered if nothing better comes. */
 };
 
-RequestRouter::RequestRouter(
-    RouterEnvironment environment, const ServedHeaders &headers, VmDirectory &directory, RetryLedger &ledger, const CrashHistory &crashes, WorkEstimates &work)
-    : m_environment(std::move(environment)), m_headers(headers), m_directory(directory), m_ledger(ledger), m_crashes(crashes), m_work(work)
+RequestRouter::RequestRouter(RouterEnvironment environment,
+                             const ServedHeaders &headers,
+                             VmDirectory &directory,
+                             RetryLedger &ledger,
+                             const CrashHistory &crashes,
+                             WorkEstimates &work,
+                             Metrics &metrics)
+    : m_environment(std::move(environment)), m_headers(headers), m_directory(directory), m_ledger(ledger), m_crashes(crashes), m_work(work), m_metrics(metrics)
 {
 }
 
@@ -78,24 +83,41 @@
     if (!response) {
         response = co_await attempt(call, cancellation);
     }
+    record(call, *response, cancellation->isRequested());
+    if (!call.request.requestId.empty()) {
+        response->set(m_headers.requestId, call.request.requestId);
+    }
+    co_return std::move(response);
+}
+
+/** Writes the line and counts the figures of a request that has its answer. */
+void RequestRouter::record(const Call &call, const HttpResponse &response, bool wasCancelled)
+{
+    const Duration taken = SteadyClock().now() - call.startedAt;
+    const bool hasAnswer = call.mayHaveRun || call.lastReason == Reason::None;
+    m_metrics.add(call.arrivals == 0 ? Counter::CallsNotRun : hasAnswer && call.lastReason == Reason::None ? Counter::CallsRan : Counter::CallsUnknown);
+    m_metrics.add(Counter::Attempts, call.arrivals);
+    m_metrics.add(Counter::Retries, call.arrivals > 1 ? call.arrivals - 1 : 0);
+    m_metrics.add(Counter::Reroutes, call.hops > call.arrivals ? call.hops - call.arrivals : 0);
+    m_metrics.observe(Quantile::CallLatency, taken);
+    if (call.serviceTime > Duration::zero()) {
+        m_metrics.observe(Quantile::ServiceTime, call.serviceTime);
+        m_metrics.observe(Quantile::AddedLatency, taken - call.serviceTime);
+    }
     EventLog::write(LogLevel::Info,
                     Event::CallAnswered,
                     { { "request", call.request.requestId },
                       { "route", call.request.route },
                       { "service", call.request.service },
                       { "config", std::to_string(call.request.configVersion) },
-                      { "status", std::to_string(response->result_int()) },
+                      { "status", std::to_string(response.result_int()) },
                       { "reason", std::string(nameOf(call.lastReason)) },
                       { "hops", std::to_string(call.hops) },
                       { "arrivals", std::to_string(call.arrivals) },
                       { "backend", call.request.backend },
                       { "workMs", msText(call.serviceTime) },
-                      { "cancelled", cancellation->isRequested() ? "yes" : "no" },
-                      { "ms", msText(SteadyClock().now() - call.startedAt) } });
-    if (!call.request.requestId.empty()) {
-        response->set(m_headers.requestId, call.request.requestId);
-    }
-    co_return std::move(response);
+                      { "cancelled", wasCancelled ? "yes" : "no" },
+                      { "ms", msText(taken) } });
 }
 
 /** Finds the route and fills in the request. @return an answer if the request can't be served */
@@ -291,7 +313,7 @@
     case Outcome::Ran:
         return judgeAnswer(call, daemon, std::move(result));
     case Outcome::NotRun:
-        return judgeRefusal(call, daemon, std::move(result));
+        return judgeRefusal(call, daemon, result);
     case Outcome::Unknown:
         break;
     }
@@ -315,7 +337,7 @@
     return std::move(call.failure);
 }
 
-std::optional<HttpResponse> RequestRouter::judgeRefusal(Call &call, const std::string &daemon, ForwardResult result)
+std::optional<HttpResponse> RequestRouter::judgeRefusal(Call &call, const std::string &daemon, const ForwardResult &result)
 {
     const TimePoint now = SteadyClock().now();
     const bool isFault = result.reason == Reason::TargetDown || result.reason == Reason::Shed || result.reason == Reason::PeerUnreachable;
@@ -355,7 +377,9 @@
     if (!call.request.idempotent || call.arrivals >= call.route->attempts || now + needed > call.request.deadlineAt) {
         return false;
     }
-    return m_ledger.tryRepeat(call.request.service, now);
+    const bool isAllowed = m_ledger.tryRepeat(call.request.service, now);
+    m_metrics.add(Counter::RetriesDenied, isAllowed ? 0 : 1);
+    return isAllowed;
 }
 
 HttpResponse RequestRouter::refuseStopped(const HttpRequest &message)
@@ -380,6 +404,7 @@
 
 HttpResponse RequestRouter::refuse(const Call &call, Reason reason, Duration retryAfter)
 {
+    m_metrics.add(Counter::Refusals);
     EventLog::write(LogLevel::Info,
                     Event::RequestRejected,
                     { { "request", call.request.requestId },
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -6,6 +6,7 @@
 #include <carobjunction/version/routetable.h>
 
 #include "connection/httplistener.h"
+#include "process/metrics.h"
 #include "process/workestimates.h"
 #include "request/forwarding.h"
 #include "request/servedheaders.h"
@@ -46,7 +47,8 @@
                   VmDirectory &directory,
                   RetryLedger &ledger,
                   const CrashHistory &crashes,
-                  WorkEstimates &work);
+                  WorkEstimates &work,
+                  Metrics &metrics);
 
     Task<MaybeResponse> handle(HttpRequest message, CancellationPtr cancellation);
 
@@ -56,6 +58,7 @@
 private:
     struct Call;
 
+    void record(const Call &call, const HttpResponse &response, bool wasCancelled);
     std::optional<HttpResponse> prepare(Call &call, HttpRequest message);
     const std::string &chooseService(const HostRoute &route);
     Task<HttpResponse> attempt(Call &call, CancellationPtr cancellation);
@@ -65,7 +68,7 @@
     std::optional<std::string> chooseQueue(Call &call, TimePoint answerBy, TimePoint now);
     std::optional<HttpResponse> judge(Call &call, const std::string &daemon, ForwardResult result);
     std::optional<HttpResponse> judgeAnswer(Call &call, const std::string &daemon, ForwardResult result);
-    std::optional<HttpResponse> judgeRefusal(Call &call, const std::string &daemon, ForwardResult result);
+    std::optional<HttpResponse> judgeRefusal(Call &call, const std::string &daemon, const ForwardResult &result);
     std::optional<HttpResponse> judgeLoss(Call &call, const std::string &daemon, const ForwardResult &result);
     bool mayRepeat(Call &call, TimePoint now);
     HttpResponse finish(const Call &call, Reason reason, Duration retryAfter);
@@ -77,6 +80,7 @@
     RetryLedger &m_ledger;
     const CrashHistory &m_crashes;
     WorkEstimates &m_work;
+    Metrics &m_metrics;
     std::minstd_rand m_random { std::random_device {}() };
     std::map<std::string, std::map<std::string, double>> m_credits; /**< Of each part of a split route, for an even sequence. */
 };
--- a/src/version/routetable.cpp
+++ b/src/version/routetable.cpp
@@ -18,7 +18,7 @@
 
 bool isUsable(const HostRoute &route)
 {
-    return !route.parts.empty() && route.prefix.size() >= 1 && route.prefix.front() == '/' && route.prefix.back() == '/';
+    return !route.parts.empty() && !route.prefix.empty() && route.prefix.front() == '/' && route.prefix.back() == '/';
 }
 
 } // namespace
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -219,6 +219,8 @@
     CHECK(left > 1000);
     CHECK_FALSE(hasField(ran, "Carob-Forward"));
     CHECK(call(http::verb::get, "/nowhere/").result_int() == 404);
+    const HttpResponse figures = send(vms[0].control, HttpRequest(http::verb::get, "/metrics", 11));
+    CHECK(figures.body().find("carobjunction_call_latency_seconds_count") != std::string::npos);
 }
 
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.acknowledgedDraining.getsNoMoreWork")
--- a/tests/request/requestroutertest.cpp
+++ b/tests/request/requestroutertest.cpp
@@ -99,6 +99,7 @@
     RetryLedger ledger { { 0.2, 100, 10s } };
     CrashHistory crashes;
     WorkEstimates work;
+    Metrics metrics;
     std::deque<ForwardResult> script;
     std::vector<std::string> sentTo;
     ForwardRequest lastRequest;
@@ -109,7 +110,8 @@
                            directory,
                            ledger,
                            crashes,
-                           work };
+                           work,
+                           metrics };
 };
 
 TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.answer.isPassedOn")
@@ -214,6 +216,20 @@
     CHECK(call("/lookup/2").result_int() == 200);
 }
 
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.outcomes.areCounted")
+{
+    call("/lookup/1");
+    script.push_back(ForwardResult::unknown(Reason::AnswerLost));
+    call("/order/1", http::verb::post);
+    script.push_back(ForwardResult::notRun(Reason::Leaving));
+    call("/order/1", http::verb::post);
+    call("/nowhere/");
+    CHECK(metrics.value(Counter::CallsRan) == 2);
+    CHECK(metrics.value(Counter::CallsUnknown) == 1);
+    CHECK(metrics.value(Counter::CallsNotRun) == 1);
+    CHECK(metrics.value(Counter::Reroutes) == 1);
+}
+
 TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.splitRoute.keepsTheWeights")
 {
     int toDispatch = 0;
