Send changed VM records by datagram, and log what decided a refusal

Refusals were logged without the slots, queue and report age that decided them. Change: the table is read at the start, after the own record is stored, and each 20 s; changed records go out by datagram, twice.

--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -59,7 +59,7 @@
         Duration retryAfter = Duration::zero(); /**< Time after which another try has a chance; for refusals. */
     };
 
-    /** Late requests that may wait at once, as a share of the limit. */
+    /** Late requests that may wait at once, as a share of the limit; at least one may. */
     static constexpr double LateShare = 0.25;
     /** Work that takes this many times less than usual counts as short. */
     static constexpr int ShortWorkRatio = 3;
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -16,9 +16,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace carobjunction
 {
@@ -26,9 +28,11 @@
 /**
  * Keeps the routes and the directory of VMs up to date, and tells the other daemons of this VM.
  *
- * The store holds the routes and one row for each VM, which only its own daemon writes. Changes arrive by watching two tables.
- * Datagrams between the daemons carry load, crashes and version numbers; a daemon that is behind, because the store does not serve
- * it, fetches the state from the peer that is ahead. Versions only grow, so the source of a change makes no difference.
+ * The store holds the routes and one row for each VM, which only its own daemon writes. Changed routes arrive by watching their
+ * table. Changed VM records are sent to the other daemons by datagrams, since a watch would wake every daemon at every change; the
+ * table is read at the start and from time to time, for what the datagrams have missed. Datagrams also carry load, crashes and version
+ * numbers; a daemon that is behind fetches the state from the peer that is ahead. Versions only grow, so the source of a change makes no
+ * difference.
  */
 template<typename Platform>
 class ClusterSync
@@ -36,6 +40,17 @@
 public:
     /** Table of the VM records. */
     static constexpr const char *VmTable = "carobjunction-vms";
+    /** Time between two reads of the VM table, varied by a quarter so that daemons don't read in step. */
+    static constexpr Duration RefreshInterval = std::chrono::seconds(20);
+    /** Time after the own record is stored until the VM table is read again: daemons that start together write about then. */
+    static constexpr Duration SecondRead = std::chrono::seconds(2);
+    /** Silence after which a VM without a row is forgotten. */
+    static constexpr Duration ForgetSilence = std::chrono::seconds(10);
+    /** Datagrams with a changed record to each daemon, as one may be lost, and the time between them. */
+    static constexpr int RecordSends = 2;
+    static constexpr Duration RecordSendInterval = std::chrono::milliseconds(400);
+    /** Receivers of a changed record. Others learn of it from the version numbers of later reports. */
+    static constexpr size_t RecordFanout = 64;
     /** Longest wait of one watch of the store. Silent connections are noticed by keep-alive probes before. */
     static constexpr Duration WatchTime = std::chrono::seconds(20);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
@@ -84,8 +99,8 @@
         if (!m_datagrams) {
             EventLog::write(LogLevel::Error, Event::PortUnavailable, { { "address", m_settings.peerAddress + "/udp" }, { "detail", error.message() } });
         }
-        spawn(follow(Platform::ConfigTable));
-        spawn(follow(VmTable));
+        spawn(followRoutes());
+        spawn(refreshVms());
         spawn(writeRecord());
         spawn(sendReports());
     }
@@ -168,52 +183,82 @@
         }
     }
 
-    /** Reads a table and then follows its changes. */
-    Task<void> follow(std::string table)
+    /** Reads the routes and then follows their changes. */
+    Task<void> followRoutes()
     {
         std::optional<uint64_t> version;
         Duration nextBackoff = FirstBackoff;
         while (true) {
             std::optional<TableRows> rows;
             if (version) {
-                rows = co_await m_store.watch(table, *version, WatchTime);
+                rows = co_await m_store.watch(Platform::ConfigTable, *version, WatchTime);
             } else {
-                rows = co_await m_store.scan(table);
+                rows = co_await m_store.scan(Platform::ConfigTable);
             }
             if (!rows) {
                 if (LastReason<TableStoreError>::get() == TableStoreError::HistoryLost) {
                     version.reset();
                     continue;
                 }
-                onStoreFailure(table);
+                onStoreFailure(Platform::ConfigTable);
                 co_await pause(backoff(nextBackoff));
                 continue;
             }
             onStoreAnswer();
             nextBackoff = FirstBackoff;
-            if (!version) {
-                forgetMissing(table, *rows);
-            }
             version = rows->version;
             for (const TableRow &row : rows->rows) {
-                onRow(table, row);
+                if (row.key == Platform::ConfigKey && !row.isDeleted) {
+                    takeRoutes(row.value, "store");
+                }
             }
         }
     }
 
-    /** After a full read, VMs without a row are gone: their removal may have been in the lost history. */
-    void forgetMissing(const std::string &table, const TableRows &rows)
+    /**
+     * Reads the VM table at the start, after the own record is stored, and from time to time. Of two daemons that start together, the
+     * one that writes later sees the record of the other, and tells it of itself.
+     */
+    Task<void> refreshVms()
     {
-        if (table != VmTable) {
-            return;
+        Duration nextBackoff = FirstBackoff;
+        int readsSinceStored = 0;
+        while (true) {
+            const bool wasStored = m_isRecordStored;
+            const auto rows = co_await m_store.scan(VmTable);
+            if (!rows) {
+                onStoreFailure(VmTable);
+                co_await pause(backoff(nextBackoff));
+                continue;
+            }
+            onStoreAnswer();
+            nextBackoff = FirstBackoff;
+            takeVmRows(*rows);
+            readsSinceStored += wasStored ? 1 : 0;
+            if (readsSinceStored < 2) {
+                co_await pause(wasStored ? SecondRead : RecordSendInterval);
+            } else {
+                co_await pause(varied(RefreshInterval));
+            }
         }
+    }
+
+    Duration varied(Duration time)
+    {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * std::uniform_real_distribution<double>(0.75, 1.25)(m_random)));
+    }
+
+    void takeVmRows(const TableRows &rows)
+    {
         std::set<std::string> present;
         for (const TableRow &row : rows.rows) {
             present.insert(row.key);
+            takeVmRow(row);
         }
+        const TimePoint now = SteadyClock().now();
         std::vector<VmRecord> missing;
         for (const auto &[daemon, vm] : m_directory.all()) {
-            if (present.count(daemon) == 0 && !m_directory.isSelf(daemon)) {
+            if (present.count(daemon) == 0 && !m_directory.isSelf(daemon) && now - vm.reportedAt > ForgetSilence) {
                 missing.push_back(vm.record);
             }
         }
@@ -232,23 +277,11 @@
         }
     }
 
-    void onRow(const std::string &table, const TableRow &row)
+    void takeVmRow(const TableRow &row)
     {
-        if (table != VmTable) {
-            if (row.key == Platform::ConfigKey && !row.isDeleted) {
-                takeRoutes(row.value, "store");
-            }
-            return;
-        }
-        if (row.isDeleted) {
-            if (const VmView *vm = m_directory.find(row.key); vm != nullptr && !m_directory.isSelf(row.key)) {
-                forgetVm(row.key, vm->record.incarnation);
-            }
-            return;
-        }
         const auto record = VmRecordCodec::decode(row.value);
         if (!record || record->daemon != row.key) {
-            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", table }, { "key", row.key }, { "reason", "unreadable row" } });
+            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", VmTable }, { "key", row.key }, { "reason", "unreadable row" } });
             return;
         }
         if (m_directory.isSelf(row.key)) {
@@ -306,6 +339,7 @@
         ++m_record.revision;
         m_directory.merge(m_record);
         m_isRecordDue = true;
+        m_recordSendsLeft = RecordSends;
         m_writeTimer.cancel();
         reportNow();
     }
@@ -326,6 +360,7 @@
             if (result && result->isApplied) {
                 onStoreAnswer();
                 m_rowVersion = std::max(m_rowVersion, result->version);
+                m_isRecordStored = true;
                 nextBackoff = FirstBackoff;
                 continue;
             }
@@ -361,13 +396,15 @@
 
     GossipMessage message(TimePoint now) const
     {
-        return { m_record.daemon,
-                 m_record.incarnation,
-                 m_record.revision,
-                 m_record.address,
-                 m_routes ? m_routes->version() : 0,
-                 m_report(),
-                 m_crashes.recent(now - CrashReportAge, MaxCrashReports) };
+        GossipMessage message;
+        message.daemon = m_record.daemon;
+        message.incarnation = m_record.incarnation;
+        message.revision = m_record.revision;
+        message.peerAddress = m_record.address;
+        message.configVersion = m_routes ? m_routes->version() : 0;
+        message.report = m_report();
+        message.crashes = m_crashes.recent(now - CrashReportAge, MaxCrashReports);
+        return message;
     }
 
     Task<void> sendReports()
@@ -379,14 +416,21 @@
             ErrorCode ignored; // the timer is cancelled when a report is due at once
             co_await m_reportTimer.async_wait(into(ignored));
             const TimePoint now = SteadyClock().now();
-            const bool isFar = std::exchange(m_isReportDue, false) || now - lastFar >= FarReportInterval;
+            const bool isDue = std::exchange(m_isReportDue, false);
+            const bool hasRecord = m_recordSendsLeft > 0 && (isDue || now - lastFar >= RecordSendInterval);
+            const bool isFar = isDue || hasRecord || now - lastFar >= FarReportInterval;
             const TargetReport report = m_report();
             if (!isFar && !differs(report, lastSent)) {
                 continue;
             }
             lastSent = report;
             lastFar = isFar ? now : lastFar;
-            send(message(now), isFar);
+            GossipMessage next = message(now);
+            if (hasRecord) {
+                --m_recordSendsLeft;
+                next.record = m_record;
+            }
+            send(next, isFar);
         }
     }
 
@@ -410,7 +454,7 @@
             }
         }
         std::shuffle(receivers.begin(), receivers.end(), m_random);
-        receivers.resize(std::min(receivers.size(), ReportFanout));
+        receivers.resize(std::min(receivers.size(), message.record ? RecordFanout : ReportFanout));
         const std::string datagram = message.encode();
         for (const Udp::endpoint &receiver : receivers) {
             m_datagrams->send(receiver, datagram);
@@ -426,6 +470,9 @@
             return;
         }
         const TimePoint now = SteadyClock().now();
+        if (message->record && message->record->daemon == message->daemon) {
+            takeVm(*message->record, "datagram");
+        }
         m_directory.onAlive(message->daemon);
         m_directory.onReport(message->daemon, message->report, now);
         for (const CrashReport &crash : message->crashes) {
@@ -485,6 +532,8 @@
     VmRecord m_record;
     uint64_t m_rowVersion = 0;
     bool m_isRecordDue = true;
+    bool m_isRecordStored = false;
+    int m_recordSendsLeft = RecordSends;
     bool m_isReportDue = false;
     bool m_isFetching = false;
     bool m_isStoreReachable = true;
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -1,5 +1,7 @@
 #include "process/gossipmessage.h"
 
+#include "process/vmrecordcodec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace carobjunction
@@ -44,7 +46,8 @@
                          configVersion,
                          { report.running, report.waiting, report.limit, toPercent(report.slowness), report.cold },
                          std::move(crashList),
-                         { toJson(report.slots.upper), toJson(report.slots.lower) } };
+                         { toJson(report.slots.upper), toJson(report.slots.lower) },
+                         record ? VmRecordCodec::encode(*record) : "" };
     const std::vector<uint8_t> bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
@@ -66,6 +69,9 @@
         message.report.slowness = report.at(3).get<uint32_t>() / Percent;
         message.report.cold = report.at(4).get<bool>();
         message.report.slots = { readMeans(json.at(7).at(0)), readMeans(json.at(7).at(1)) };
+        if (const auto text = json.at(8).get<std::string>(); !text.empty()) {
+            message.record = VmRecordCodec::decode(text);
+        }
         for (const Json &crash : json.at(6)) {
             message.crashes.push_back({ crash.at(0).get<uint64_t>(), crash.at(1).get<std::string>() });
         }
--- a/src/process/gossipmessage.h
+++ b/src/process/gossipmessage.h
@@ -20,6 +20,7 @@
     uint64_t configVersion = 0; /**< Routes in force; 0: none. */
     TargetReport report;
     std::vector<CrashReport> crashes; /**< Recent ones. */
+    std::optional<VmRecord> record; /**< The daemon's own VM record, if it changed a moment ago. */
 
     std::string encode() const;
 
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -118,7 +118,7 @@
 
 bool SlotQueue::hasRoomForLate(size_t late) const
 {
-    return static_cast<double>(late) <= LateShare * m_limit;
+    return static_cast<double>(late) <= std::max(1.0, LateShare * m_limit);
 }
 
 void SlotQueue::expire(TimePoint now)
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -178,6 +178,37 @@
 }
 
 Task<ForwardResult> TargetService::run(ForwardRequest request, CancellationPtr cancellation)
+{
+    ForwardRequest decided = request;
+    decided.message = {}; // the log needs the rest only
+    ForwardResult result = co_await admitAndDispatch(std::move(request), std::move(cancellation));
+    if (result.outcome == Outcome::NotRun) {
+        logRefusal(decided, result);
+    }
+    co_return result;
+}
+
+void TargetService::logRefusal(const ForwardRequest &request, const ForwardResult &result) const
+{
+    const SlotUse use = m_slots.use();
+    const TimePoint now = SteadyClock().now();
+    EventLog::write(LogLevel::Info,
+                    Event::AdmissionDecided,
+                    { { "request", request.requestId },
+                      { "route", request.route },
+                      { "outcome", "not-run" },
+                      { "reason", std::string(nameOf(result.reason)) },
+                      { "backend", m_gate.record().id },
+                      { "state", std::string(nameOf(m_gate.record().state)) },
+                      { "running", std::to_string(use.running) },
+                      { "waiting", std::to_string(use.waiting) },
+                      { "limit", std::to_string(use.limit) },
+                      { "workMs", std::to_string(toMs(request.work)) },
+                      { "aimLeftMs", std::to_string(toMs(request.aimAt - now)) },
+                      { "leftMs", std::to_string(toMs(request.deadlineAt - now)) } });
+}
+
+Task<ForwardResult> TargetService::admitAndDispatch(ForwardRequest request, CancellationPtr cancellation)
 {
     if (const auto reason = reasonToRefuse(request)) {
         co_return ForwardResult::notRun(*reason);
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -72,6 +72,8 @@
         uint64_t fingerprint = 0;
     };
 
+    Task<ForwardResult> admitAndDispatch(ForwardRequest request, CancellationPtr cancellation);
+    void logRefusal(const ForwardRequest &request, const ForwardResult &result) const;
     std::optional<Reason> reasonToRefuse(const ForwardRequest &request) const;
     Task<std::optional<ForwardResult>> waitForSlot(const ForwardRequest &request, CancellationPtr cancellation);
     Task<ForwardResult> dispatch(ForwardRequest request, CancellationPtr cancellation);
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -184,13 +184,7 @@
             EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "request", id }, { "reason", "unreadable forwarded request" } });
             co_return ownAnswer(http::status::bad_request, "the forwarded request can't be read");
         }
-        const std::string route = request->route;
         ForwardResult result = co_await m_target.run(std::move(*request), cancellation);
-        if (result.outcome == Outcome::NotRun) {
-            EventLog::write(LogLevel::Info,
-                            Event::AdmissionDecided,
-                            { { "request", id }, { "route", route }, { "outcome", "not-run" }, { "reason", std::string(nameOf(result.reason)) } });
-        }
         result.report = m_target.report();
         co_return PeerCodec::encode(std::move(result));
     }
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -53,6 +53,7 @@
     const HostRoute *route = nullptr;
     ForwardRequest request;
     TimePoint startedAt;
+    TimePoint chosenAt; /**< When the last target was chosen. */
     std::set<std::string> tried; /**< Daemons whose target has had the request, or refused it. */
     std::map<std::string, Duration> refusals; /**< Daemons that were full, with the wait that they predict. */
     std::set<std::string> queuedAt; /**< Daemons that refused even a wait. */
@@ -276,6 +277,7 @@
             co_return finish(call, call.lastReason, wait);
         }
         call.request.backend = vm->record.backend.id;
+        call.chosenAt = now;
         call.tried.insert(*daemon);
         if (call.request.mayQueue) {
             call.queuedAt.insert(*daemon);
@@ -289,26 +291,35 @@
     }
 }
 
+/** Writes an attempt without an answer, with the load and the age of the report by which the target was chosen. */
+void RequestRouter::logAttempt(const Call &call, const std::string &daemon, const ForwardResult &result) const
+{
+    const VmView *vm = m_directory.find(daemon);
+    EventLog::write(LogLevel::Info,
+                    Event::RetryDecided,
+                    { { "request", call.request.requestId },
+                      { "daemon", daemon },
+                      { "backend", call.request.backend },
+                      { "outcome", std::string(nameOf(result.outcome)) },
+                      { "reason", std::string(nameOf(result.reason)) },
+                      { "queued", call.request.mayQueue ? "yes" : "no" },
+                      { "reportAgeMs", vm == nullptr ? "" : msText(call.chosenAt - vm->reportedAt) },
+                      { "reportedLoad", vm == nullptr ? "" : std::to_string(vm->report.running + vm->report.waiting) },
+                      { "detail", result.detail } });
+}
+
 std::optional<HttpResponse> RequestRouter::judge(Call &call, const std::string &daemon, ForwardResult result)
 {
     const TimePoint now = SteadyClock().now();
+    if (result.outcome != Outcome::Ran) {
+        logAttempt(call, daemon, result);
+    }
     if (result.report) {
         m_directory.onReport(daemon, *result.report, now);
     }
     call.arrivals += result.reachedBackend ? 1 : 0;
     call.lastReason = result.reason;
     call.serviceTime = result.serviceTime;
-    if (result.outcome != Outcome::Ran) {
-        EventLog::write(LogLevel::Info,
-                        Event::RetryDecided,
-                        { { "request", call.request.requestId },
-                          { "daemon", daemon },
-                          { "backend", call.request.backend },
-                          { "outcome", std::string(nameOf(result.outcome)) },
-                          { "reason", std::string(nameOf(result.reason)) },
-                          { "queued", call.request.mayQueue ? "yes" : "no" },
-                          { "detail", result.detail } });
-    }
     switch (result.outcome) {
     case Outcome::Ran:
         return judgeAnswer(call, daemon, std::move(result));
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -58,6 +58,7 @@
 private:
     struct Call;
 
+    void logAttempt(const Call &call, const std::string &daemon, const ForwardResult &result) const;
     void record(const Call &call, const HttpResponse &response, bool wasCancelled);
     std::optional<HttpResponse> prepare(Call &call, HttpRequest message);
     const std::string &chooseService(const HostRoute &route);
