--- a/tests/platform/platformadaptertest.cpp
+++ b/tests/platform/platformadaptertest.cpp
@@ -141,7 +141,8 @@
         change.puts.push_back({ "t", "k", value });
         const Json body = Json::parse(RowsDialect::commit(change).body());
         RC_ASSERT(body["precondition"][0]["ver"] == 5);
-        Json answer { { "rows", Json::array({ { { "table_name", "t" }, { "key", "k" }, { "value", body["puts"][0]["value"] }, { "ver", 9 } } }) }, { "ver", 11 } };
+        Json answer { { "rows", Json::array({ { { "table_name", "t" }, { "key", "k" }, { "value", body["puts"][0]["value"] }, { "ver", 9 } } }) },
+                      { "ver", 11 } };
         HttpResponse response(http::status::ok, 11);
         response.body() = answer.dump();
         const auto rows = RowsDialect::readRows(response);
@@ -153,7 +154,9 @@
 
 TEST_CASE("RowsDialect.statusOfTheStore.tellsWhatHappened")
 {
-    const auto error = [](http::status status) { return RowsDialect::errorOf(HttpResponse(status, 11)); };
+    const auto error = [](http::status status) {
+        return RowsDialect::errorOf(HttpResponse(status, 11));
+    };
     CHECK(error(http::status::ok) == std::nullopt);
     CHECK(error(http::status::precondition_failed) == std::nullopt);
     CHECK(error(http::status::gone) == TableStoreError::HistoryLost);
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -408,6 +408,22 @@
     CHECK(call(http::verb::post, "/order/1").result_int() == 503);
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.settingsChangedWithoutASignal.areInForce")
+{
+    REQUIRE(servesLookups());
+    vms[1].backend->hangs = true;
+    begin(vms[0].caller, request(http::verb::get, "/look/1"));
+    std::ifstream file(vms[0].settingsFile);
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    text.replace(text.find("grace-period: 4s"), 16, "grace-period: 1s");
+    std::ofstream(vms[0].settingsFile) << text;
+    runFor(2300ms);
+    begin(vms[0].caller, request(http::verb::get, "/look/1"));
+    runFor(100ms);
+    vms[0].daemon->terminate();
+    CHECK(waitFor([&] { return vms[0].daemon->waitForExit(1ms); }, 1500ms));
+}
+
 TEST_CASE("PlatformDaemon.faultySettings.endTheStartWithEachFault")
 {
     const std::string path = std::string(CAROBJUNCTION_BINARY_DIR) + "/platform-test-" + std::to_string(getpid()) + "-faulty.yaml";
--- a/tests/version/configurationpagetest.cpp
+++ b/tests/version/configurationpagetest.cpp
@@ -2,6 +2,7 @@
 #include <carobjunction/version/serviceconfigparser.h>
 
 #include "process/settingsparser.h"
+#include "process/vmsettings.h"
 
 #include <catch2/catch.hpp>
 
@@ -57,6 +58,7 @@
     // Guards against a key, default or range that is documented wrongly or not at all.
     CHECK(rowsOnPage("Service configuration") == rowsOf(ServiceConfigParser::keys()));
     CHECK(rowsOnPage("Settings") == rowsOf(SettingsParser::keys()));
+    CHECK(rowsOnPage("VM settings") == rowsOf(VmSettingsParser::keys()));
 }
 
 TEST_CASE("OperatorsPage.reasons.areAllExplained")
