--- /dev/null
+++ b/include/carobjunction/process/durations.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+
+#include <cstdint>
+
+namespace carobjunction
+{
+
+/** @return @p duration times @p factor */
+inline Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+/** @return whole milliseconds of @p duration */
+inline int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace carobjunction
--- a/src/connection/peerclients.cpp
+++ b/src/connection/peerclients.cpp
@@ -41,25 +41,13 @@
     options.deadline = request.deadlineAt + AnswerMargin;
     options.connectTimeout = isSameRegion ? NearConnectTimeout : FarConnectTimeout;
     ExchangeResult exchange = co_await connections->exchange(PeerCodec::encode(request, SteadyClock().now()), std::move(options), std::move(cancellation));
-    switch (exchange.end) {
-    case ExchangeEnd::Answered:
-        if (auto result = PeerCodec::decode(std::move(exchange.response))) {
-            co_return std::move(*result);
-        }
-        co_return ForwardResult::unknown(Reason::AnswerLost, "unreadable answer of the peer");
-    case ExchangeEnd::NotSent: {
-        ForwardResult result = ForwardResult::notRun(Reason::PeerUnreachable);
-        result.detail = std::move(exchange.detail);
-        co_return result;
+    if (exchange.end != ExchangeEnd::Answered) {
+        co_return ForwardResult::unanswered(exchange.end, Reason::PeerUnreachable, std::move(exchange.detail));
     }
-    case ExchangeEnd::TimedOut:
-        co_return ForwardResult::unknown(Reason::DeadlineExceeded, std::move(exchange.detail));
-    case ExchangeEnd::Cancelled:
-        co_return ForwardResult::unknown(Reason::Cancelled, std::move(exchange.detail));
-    case ExchangeEnd::Lost:
-        break;
+    if (auto result = PeerCodec::decode(std::move(exchange.response))) {
+        co_return std::move(*result);
     }
-    co_return ForwardResult::unknown(Reason::AnswerLost, std::move(exchange.detail));
+    co_return ForwardResult::unknown(Reason::AnswerLost, "unreadable answer of the peer");
 }
 
 Task<std::optional<std::string>> PeerClients::fetchState(std::string address)
--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -1,5 +1,7 @@
 #include "connection/peercodec.h"
 
+#include <carobjunction/process/durations.h>
+
 #include "connection/messagefields.h"
 
 #include <nlohmann/json.hpp>
@@ -14,11 +16,6 @@
 
 constexpr double Percent = 100;
 
-int64_t toMs(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 Duration fromMs(int64_t milliseconds)
 {
     return std::chrono::milliseconds(milliseconds);
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/durations.h>
 #include <carobjunction/process/vmdirectory.h>
 #include <carobjunction/version/routetable.h>
 
@@ -164,7 +165,7 @@
     {
         const Duration wait = next;
         next = std::min<Duration>(next * 2, LongestBackoff);
-        return Duration(static_cast<Duration::rep>(static_cast<double>(wait.count()) * std::uniform_real_distribution<double>(0.5, 1)(m_random)));
+        return scaled(wait, std::uniform_real_distribution<double>(0.5, 1)(m_random));
     }
 
     void onStoreFailure(const std::string &table)
@@ -245,7 +246,7 @@
 
     Duration varied(Duration time)
     {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * std::uniform_real_distribution<double>(0.75, 1.25)(m_random)));
+        return scaled(time, std::uniform_real_distribution<double>(0.75, 1.25)(m_random));
     }
 
     void takeVmRows(const TableRows &rows)
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -1,5 +1,7 @@
 #include <carobjunction/process/slotqueue.h>
 
+#include <carobjunction/process/durations.h>
+
 #include <algorithm>
 
 namespace carobjunction
@@ -10,11 +12,6 @@
 
 constexpr double MeanWeight = 0.1; // weight of a new observation in the mean
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 bool SlotQueue::isShort(const SlotRequest &request) const
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -1,5 +1,7 @@
 #include "process/targetservice.h"
 
+#include <carobjunction/process/durations.h>
+
 #include "connection/messagefields.h"
 #include "process/suspension.h"
 
@@ -34,11 +36,6 @@
     return numbers;
 }
 
-int64_t toMs(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 TargetService::TargetService(asio::io_context &loop,
@@ -277,22 +274,10 @@
 
 ForwardResult TargetService::classify(const ForwardRequest &request, ExchangeResult exchange)
 {
-    switch (exchange.end) {
-    case ExchangeEnd::Answered:
+    if (exchange.end == ExchangeEnd::Answered) {
         return classifyAnswer(request, std::move(exchange.response));
-    case ExchangeEnd::NotSent: {
-        ForwardResult result = ForwardResult::notRun(Reason::TargetDown);
-        result.detail = std::move(exchange.detail);
-        return result;
-    }
-    case ExchangeEnd::TimedOut:
-        return ForwardResult::unknown(Reason::DeadlineExceeded, std::move(exchange.detail));
-    case ExchangeEnd::Cancelled:
-        return ForwardResult::unknown(Reason::Cancelled, std::move(exchange.detail));
-    case ExchangeEnd::Lost:
-        break;
     }
-    return ForwardResult::unknown(Reason::AnswerLost, std::move(exchange.detail));
+    return ForwardResult::unanswered(exchange.end, Reason::TargetDown, std::move(exchange.detail));
 }
 
 ForwardResult TargetService::classifyAnswer(const ForwardRequest &request, HttpResponse response)
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -1,5 +1,7 @@
 #include <carobjunction/process/vmdirectory.h>
 
+#include <carobjunction/process/durations.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,11 +17,6 @@
 constexpr double JitterShare = 0.15;
 constexpr uint32_t LargestDoubling = 5;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 bool accepts(const VmView &vm, const TargetQuery &query)
 {
     const VmRecord &record = vm.record;
--- a/src/request/forwarding.h
+++ b/src/request/forwarding.h
@@ -5,7 +5,7 @@
 #include <carobjunction/request/outcome.h>
 #include <carobjunction/request/reason.h>
 
-#include "connection/asio.h"
+#include "connection/httpclientpool.h"
 
 #include <optional>
 #include <string>
@@ -50,6 +50,21 @@
         return result;
     }
 
+    /**
+     * @param end  of an exchange that brought no answer
+     * @param notSent  reason if nothing was sent
+     */
+    static ForwardResult unanswered(ExchangeEnd end, Reason notSent, std::string detail)
+    {
+        if (end == ExchangeEnd::NotSent) {
+            ForwardResult result = notRun(notSent);
+            result.detail = std::move(detail);
+            return result;
+        }
+        const Reason reason = end == ExchangeEnd::TimedOut ? Reason::DeadlineExceeded : end == ExchangeEnd::Cancelled ? Reason::Cancelled : Reason::AnswerLost;
+        return unknown(reason, std::move(detail));
+    }
+
     static ForwardResult unknown(Reason reason, std::string detail = {})
     {
         ForwardResult result;
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -1,5 +1,6 @@
 #include "request/requestrouter.h"
 
+#include <carobjunction/process/durations.h>
 #include <carobjunction/request/fingerprint.h>
 
 #include "connection/messagefields.h"
@@ -42,7 +43,7 @@
 
 std::string msText(Duration duration)
 {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    return std::to_string(toMs(duration));
 }
 
 } // namespace
@@ -384,7 +385,7 @@
 
 bool RequestRouter::mayRepeat(Call &call, TimePoint now)
 {
-    const auto needed = Duration(static_cast<Duration::rep>(static_cast<double>(call.request.work.count()) * UsefulShare));
+    const Duration needed = scaled(call.request.work, UsefulShare);
     if (!call.request.idempotent || call.arrivals >= call.route->attempts || now + needed > call.request.deadlineAt) {
         return false;
     }
--- a/tests/connection/httpexchangetest.cpp
+++ b/tests/connection/httpexchangetest.cpp
@@ -22,9 +22,7 @@
 {
 public:
     ScriptedServer(asio::io_context &loop, std::deque<std::string> scripts)
-        : m_loop(loop)
-        , m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        , m_scripts(std::move(scripts))
+        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), m_scripts(std::move(scripts))
     {
         asio::co_spawn(
             loop, [this]() -> Task<void> { co_await accept(); }, asio::detached);
@@ -90,14 +88,13 @@
         request.prepare_payload();
         ExchangeOptions options;
         options.deadline = SteadyClock().now() + time;
-        options.belongs = [](const HttpResponse &response) { return fieldText(response, "Id") == "r"; };
+        options.belongs = [](const HttpResponse &response) {
+            return fieldText(response, "Id") == "r";
+        };
         std::optional<ExchangeResult> result;
         asio::co_spawn(
-            loop,
-            [&]() -> Task<void> { result = co_await pool.exchange(request, options, std::make_shared<Cancellation>()); },
-            asio::detached);
-        while (!result && loop.run_one() > 0) {
-        }
+            loop, [&]() -> Task<void> { result = co_await pool.exchange(request, options, std::make_shared<Cancellation>()); }, asio::detached);
+        while (!result && loop.run_one() > 0) { }
         REQUIRE(result.has_value());
         return *result;
     }
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -128,8 +128,9 @@
             VmRecord record = vm("x", "a", "r", revision);
             record.incarnation = incarnation;
             directory.merge(record);
-            newest = directory.all().size() == 1 && newest == std::pair<uint64_t, uint64_t> { 0, 0 } ? std::pair<uint64_t, uint64_t>(incarnation, revision)
-                                                                                                    : std::max(newest, std::pair<uint64_t, uint64_t>(incarnation, revision));
+            newest = directory.all().size() == 1 && newest == std::pair<uint64_t, uint64_t> { 0, 0 }
+                ? std::pair<uint64_t, uint64_t>(incarnation, revision)
+                : std::max(newest, std::pair<uint64_t, uint64_t>(incarnation, revision));
             const VmRecord &held = directory.find("x")->record;
             RC_ASSERT((std::pair<uint64_t, uint64_t>(held.incarnation, held.revision) == newest));
         }
--- a/tests/request/requestroutertest.cpp
+++ b/tests/request/requestroutertest.cpp
@@ -84,9 +84,7 @@
         message.set("Time-Left", "1000");
         MaybeResponse response;
         asio::co_spawn(
-            loop,
-            [&]() -> Task<void> { response = co_await router.handle(message, std::make_shared<Cancellation>()); },
-            asio::detached);
+            loop, [&]() -> Task<void> { response = co_await router.handle(message, std::make_shared<Cancellation>()); }, asio::detached);
         loop.restart();
         loop.run();
         REQUIRE(response.has_value());
