--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -15,6 +15,8 @@
 constexpr double ColdFactor = 2; // work on a cold backend server takes about twice as long
 constexpr double CrowdedFactor = 1.7; // work beyond the limit slows all work of the backend server
 constexpr double JitterShare = 0.15;
+constexpr double UseWeight = 0.3; // of the slots in use, so that equal targets are filled evenly
+constexpr double FailurePenalty = 4; // a target that fails every call counts as if its work took five times as long
 constexpr uint32_t LargestDoubling = 5;
 
 bool accepts(const VmView &vm, const TargetQuery &query)
@@ -160,10 +162,9 @@
     const double slowness = now - vm.reportedAt < SlownessAge ? vm.report.slowness : 1;
     const double factor = slowness * (vm.report.cold ? ColdFactor : 1) * (busy >= limit ? CrowdedFactor : 1);
     const double excess = busy < limit ? 0 : static_cast<double>(busy - limit + 1) / limit;
-    // A slot in use makes a noisy moment likelier to hurt, so that equal targets are filled evenly.
-    const double use = 0.3 * static_cast<double>(std::min(busy, limit)) / limit;
+    const double use = UseWeight * static_cast<double>(std::min(busy, limit)) / limit;
     const Duration work = scaled(query.work, factor);
-    return hop + scaled(work, 1 + use + excess + 4 * vm.failureShare);
+    return hop + scaled(work, 1 + use + excess + FailurePenalty * vm.failureShare);
 }
 
 std::optional<std::string> VmDirectory::choose(const TargetQuery &query, TimePoint now, const std::function<double()> &jitter) const
