Bound the look for a crash after a lost answer

Cause: after a lost answer the owner connects to the backend server to see whether it ended. That connection had no time limit, so a full accept queue held the slot and the caller's answer until the kernel gave up.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -1,5 +1,6 @@
 #include "connection/httpclientpool.h"
 
+#include "connection/connectiontimer.h"
 #include "connection/socketoptions.h"
 
 #include <boost/beast/http/error.hpp>
@@ -19,23 +20,6 @@
 constexpr int MaxForeignAnswers = 4; // answers of other requests that are skipped on one connection
 constexpr double KeepAliveShare = 0.7; // part of the server's idle timeout after which a connection is closed
 
-/** Ends a connection at a point in time, unless it is destroyed before. */
-class ConnectionTimer
-{
-public:
-    ConnectionTimer(asio::io_context &loop, TimePoint at, std::function<void()> onExpiry) : m_timer(loop, at)
-    {
-        m_timer.async_wait([callback = std::move(onExpiry)](ErrorCode error) {
-            if (!error) {
-                callback();
-            }
-        });
-    }
-
-private:
-    asio::steady_timer m_timer;
-};
-
 } // namespace
 
 struct HttpClientPool::Connection {
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/durations.h>
 
+#include "connection/connectiontimer.h"
 #include "connection/messagefields.h"
 #include "process/suspension.h"
 
@@ -325,9 +326,13 @@
 /** A backend server that refuses connections after it lost a request has ended while it ran what was in flight. */
 Task<void> TargetService::checkForCrash()
 {
-    Tcp::socket socket(m_loop);
+    const auto socket = std::make_shared<Tcp::socket>(m_loop);
+    const ConnectionTimer timer(m_loop, SteadyClock().now() + ConnectTimeout, [socket] {
+        ErrorCode ignored; // the connection is given up in any case
+        socket->close(ignored);
+    });
     ErrorCode error;
-    co_await socket.async_connect(m_backend->server(), into(error));
+    co_await socket->async_connect(m_backend->server(), into(error));
     if (error != asio::error::connection_refused) {
         co_return;
     }
