Wait out slow spells of a backend server's VM

Readings every 10 ms (trial) show why: the slowness figure of a VM switches between 100 and 500, 35% of the time high, for 150 ms or a multiple at a time, and work that starts while it is high stays slow to its end. The daemon had only the figure of the last answer. Change: before a request starts, the daemon beside the backend server reads the figure from the health path, unless a reading is at most 20 ms old; requests that come together share one question. In a slow spell nothing starts that would miss its aim: what may go elsewhere is refused as host-slow at once, the rest waits for the end of the spell, which is looked for every 20 ms. A spell of over a second is taken as lasting. Slow runs no longer count as usual work.

--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -29,6 +29,13 @@
     Closed, /**< The target accepts no new work. */
 };
 
+/** How slow work is on the backend server's VM at this moment. */
+struct HostState {
+    double factor = 1; /**< Time that work takes, relative to what is usual. */
+    bool isSlow = false;
+    bool isPassing = false; /**< Slow, and likely to be as usual again soon. */
+};
+
 /** Slots of a target at one moment. */
 struct SlotUse {
     uint32_t running = 0;
@@ -65,6 +72,8 @@
     static constexpr int ShortWorkRatio = 3;
     /** Part of the usual time of work that must be left before the deadline. Half of all work takes less than two thirds of the mean. */
     static constexpr double LeastWorkShare = 0.5;
+    /** Time until a slow spell of the VM is expected to end. */
+    static constexpr Duration SpellRest = std::chrono::milliseconds(150);
 
     /**
      * @param slots  requests that the backend server runs at once
@@ -77,6 +86,18 @@
         m_limit = limit;
     }
 
+    /**
+     * Takes a reading of the backend server's VM. Work that starts while the VM is slow stays slow, so it waits for the end of the
+     * spell unless it can be answered in good time all the same.
+     */
+    void setHost(const HostState &host)
+    {
+        m_host = host;
+    }
+
+    /** Starts what can start now. To be called after setHost(). */
+    void grantNext(TimePoint now);
+
     /** @param waiter  called once if the request has to wait; not called after withdraw() */
     Decision offer(const SlotRequest &request, TimePoint now, Waiter waiter);
 
@@ -114,14 +135,16 @@
     bool isLate(const SlotRequest &request, TimePoint now) const;
     Rank rank(const SlotRequest &request, TimePoint now) const;
     bool hasSlotFor(const SlotRequest &request) const;
+    bool isWorthStarting(const SlotRequest &request, TimePoint now) const;
+    Duration expectedWork(const SlotRequest &request) const;
     Iterator best(TimePoint now);
     size_t countLate(TimePoint now) const;
     bool hasRoomForLate(size_t late) const;
-    void grantNext(TimePoint now);
 
     uint32_t m_slots = 1;
     uint32_t m_limit = 1;
     uint32_t m_running = 0;
+    HostState m_host;
     Ticket m_lastTicket = 0;
     std::list<Waiting> m_waiting;
     Duration m_meanWork = std::chrono::milliseconds(100);
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carobjunction/process/clock.h>
+#include <carobjunction/process/hostslowness.h>
 #include <carobjunction/process/slottuner.h>
 #include <carobjunction/process/vmrecord.h>
 
@@ -64,7 +65,7 @@
 {
 public:
     /** Age at which a report no longer tells how slow work is on a VM, which changes many times a second. */
-    static constexpr Duration SlownessAge = std::chrono::milliseconds(150);
+    static constexpr Duration SlownessAge = HostSlowness::Expiry;
     /** First time for which a VM is avoided after a failed call; doubles with each further one. */
     static constexpr Duration AvoidAfterFailure = std::chrono::milliseconds(250);
     static constexpr Duration LongestAvoidance = std::chrono::seconds(4);
--- a/include/carobjunction/request/reason.h
+++ b/include/carobjunction/request/reason.h
@@ -35,6 +35,7 @@
     PeerUnreachable = 25, /**< The peer's daemon could not be reached, so nothing was sent. */
     KeyMismatch = 26, /**< The idempotency key was used before with another request. */
     AdaptiveLimit = 27, /**< The adaptive concurrency limit of the target is reached. */
+    HostSlow = 28, /**< Work is slow on the target's VM at this moment. */
 };
 
 template<>
@@ -68,6 +69,7 @@
         { Reason::PeerUnreachable, "peer-unreachable" },
         { Reason::KeyMismatch, "key-mismatch" },
         { Reason::AdaptiveLimit, "adaptive-limit" },
+        { Reason::HostSlow, "host-slow" },
     };
 };
 
--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -76,6 +76,7 @@
     Json field { { "outcome", nameOf(result.outcome) },
                  { "reason", nameOf(result.reason) },
                  { "reached", result.reachedBackend },
+                 { "typical", result.isTypical },
                  { "us", std::chrono::duration_cast<std::chrono::microseconds>(result.serviceTime).count() },
                  { "retry", toMs(result.retryAfter) } };
     if (result.report) {
@@ -104,6 +105,7 @@
         result.outcome = *outcome;
         result.reason = *reason;
         result.reachedBackend = field.at("reached").get<bool>();
+        result.isTypical = field.at("typical").get<bool>();
         result.serviceTime = std::chrono::microseconds(field.at("us").get<int64_t>());
         result.retryAfter = fromMs(field.at("retry").get<int64_t>());
         if (field.contains("load")) {
--- /dev/null
+++ b/src/process/backendprobe.cpp
@@ -0,0 +1,37 @@
+#include "process/backendprobe.h"
+
+namespace carobjunction
+{
+
+BackendProbe::BackendProbe(asio::io_context &loop, std::shared_ptr<HttpClientPool> backend, Duration interval, Reader reader)
+    : m_loop(loop), m_backend(std::move(backend)), m_interval(interval), m_reader(std::move(reader))
+{
+}
+
+Task<void> BackendProbe::refresh(std::string path)
+{
+    if (const auto pending = m_pending) {
+        ErrorCode ignored; // the timer is cancelled when the answer is there
+        co_await pending->async_wait(into(ignored));
+        co_return;
+    }
+    const TimePoint now = SteadyClock().now();
+    if (path.empty() || now < m_notBefore) {
+        co_return;
+    }
+    m_notBefore = now + m_interval;
+    m_pending = std::make_shared<asio::steady_timer>(m_loop, TimePoint::max());
+    ExchangeOptions options;
+    options.deadline = now + AnswerTimeout;
+    options.connectTimeout = AnswerTimeout;
+    HttpRequest question(http::verb::get, path, 11);
+    question.set(http::field::host, "health");
+    const ExchangeResult exchange = co_await m_backend->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
+    if (exchange.end != ExchangeEnd::Answered || !m_reader(exchange.response)) {
+        m_notBefore = now + FailurePause;
+    }
+    m_pending->cancel();
+    m_pending.reset();
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/backendprobe.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "connection/httpclientpool.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carobjunction
+{
+
+/**
+ * Asks a backend server's health path for its load. Requests that need the answer at the same time share one question. Used on one
+ * event loop; not thread-safe.
+ */
+class BackendProbe
+{
+public:
+    /** Time within which the answer must come, since requests wait for it. */
+    static constexpr Duration AnswerTimeout = std::chrono::milliseconds(40);
+    /** Time for which a backend server that gave no usable answer is not asked again. */
+    static constexpr Duration FailurePause = std::chrono::seconds(1);
+
+    /** Takes an answer. @return whether it told the load */
+    using Reader = std::function<bool(const HttpResponse &)>;
+
+    /** @param interval  shortest time between two questions */
+    BackendProbe(asio::io_context &loop, std::shared_ptr<HttpClientPool> backend, Duration interval, Reader reader);
+
+    /** Asks, or waits for the answer to a question under way. Returns at once if it is too early for another question. */
+    Task<void> refresh(std::string path);
+
+private:
+    asio::io_context &m_loop;
+    std::shared_ptr<HttpClientPool> m_backend;
+    Duration m_interval;
+    Reader m_reader;
+    TimePoint m_notBefore;
+    std::shared_ptr<asio::steady_timer> m_pending; /**< Cancelled when the question under way ends. */
+};
+
+} // namespace carobjunction
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -34,12 +34,28 @@
     return m_running < (isShort(request) ? m_slots : m_limit);
 }
 
+/** @return time that the backend server takes for the request; a passing slow spell is waited out */
+Duration SlotQueue::expectedWork(const SlotRequest &request) const
+{
+    return m_host.isSlow && !m_host.isPassing ? scaled(request.work, m_host.factor) : request.work;
+}
+
+bool SlotQueue::isWorthStarting(const SlotRequest &request, TimePoint now) const
+{
+    if (!m_host.isSlow) {
+        return true;
+    }
+    const TimePoint end = now + scaled(request.work, m_host.factor);
+    return request.mayQueue && end <= (m_host.isPassing ? request.aimAt : request.deadlineAt);
+}
+
 Duration SlotQueue::predictedWait(size_t ahead) const
 {
+    const Duration spell = m_host.isPassing ? SpellRest : Duration::zero();
     if (m_running < m_limit) {
-        return Duration::zero();
+        return spell;
     }
-    return scaled(m_meanWork, (static_cast<double>(ahead) + 0.5) / static_cast<double>(m_limit));
+    return spell + scaled(m_meanWork, (static_cast<double>(ahead) + 0.5) / static_cast<double>(m_limit));
 }
 
 size_t SlotQueue::countAhead(const SlotRequest &request, TimePoint now) const
@@ -51,10 +67,11 @@
 SlotQueue::Decision SlotQueue::offer(const SlotRequest &request, TimePoint now, Waiter waiter)
 {
     Decision decision;
-    const bool isFree = hasSlotFor(request);
+    const bool hasSlot = hasSlotFor(request);
+    const bool isFree = hasSlot && isWorthStarting(request, now);
     const Duration wait = isFree ? Duration::zero() : predictedWait(countAhead(request, now));
     decision.retryAfter = std::max<Duration>(predictedWait(m_waiting.size()), std::chrono::milliseconds(50));
-    if (now + wait + scaled(request.work, LeastWorkShare) >= request.deadlineAt) {
+    if (now + wait + scaled(expectedWork(request), LeastWorkShare) >= request.deadlineAt) {
         decision.reason = Reason::DeadlineTooShort;
         return decision;
     }
@@ -64,7 +81,7 @@
         return decision;
     }
     if (!request.mayQueue) {
-        decision.reason = Reason::Full;
+        decision.reason = hasSlot ? Reason::HostSlow : Reason::Full;
         return decision;
     }
     if (now + wait + request.work > request.aimAt && !isShort(request) && !hasRoomForLate(countLate(now) + 1)) {
@@ -87,7 +104,7 @@
     expire(now);
     while (!m_waiting.empty()) {
         const Iterator next = best(now);
-        if (!hasSlotFor(next->request)) {
+        if (!hasSlotFor(next->request) || !isWorthStarting(next->request, now)) {
             return;
         }
         const Waiter waiter = std::move(next->waiter);
@@ -124,7 +141,7 @@
     size_t late = countLate(now);
     for (Iterator it = m_waiting.begin(); it != m_waiting.end();) {
         const Iterator current = it++;
-        const bool isHopeless = now + scaled(current->request.work, LeastWorkShare) >= current->request.deadlineAt;
+        const bool isHopeless = now + scaled(expectedWork(current->request), LeastWorkShare) >= current->request.deadlineAt;
         const bool isLateOne = isLate(current->request, now);
         if (isHopeless || (isLateOne && !hasRoomForLate(late))) {
             late -= isLateOne ? 1 : 0;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -53,6 +53,7 @@
     , m_work(work)
     , m_hooks(std::move(hooks))
     , m_gate(silenceLimit)
+    , m_probe(loop, m_backend, HostSlowness::Freshness, [this](const HttpResponse &response) { return readLoad(response); })
 {
 }
 
@@ -123,7 +124,8 @@
 TargetReport TargetService::report() const
 {
     const SlotUse use = m_slots.use();
-    return { use.running, use.waiting, use.limit, m_slowness, m_gate.isCold(SteadyClock().now()), m_tuner.evidence() };
+    const TimePoint now = SteadyClock().now();
+    return { use.running, use.waiting, use.limit, m_host.factor(now), m_gate.isCold(now), m_tuner.evidence() };
 }
 
 std::optional<Reason> TargetService::reasonToRefuse(const ForwardRequest &request) const
@@ -147,6 +149,34 @@
     return std::nullopt;
 }
 
+/** Reads how slow the VM is, if the last reading is too old to start work by. */
+Task<void> TargetService::refreshHost()
+{
+    if (!m_host.isFresh(SteadyClock().now())) {
+        co_await m_probe.refresh(m_hooks.healthPath(m_gate.record().service));
+    }
+    applyHost(SteadyClock().now());
+}
+
+void TargetService::applyHost(TimePoint now)
+{
+    m_slots.setHost({ m_host.factor(now), m_host.isSlow(now), m_host.isPassing(now) });
+}
+
+/** Reads the VM's slowness again and again while requests wait for the end of a slow spell. */
+Task<void> TargetService::watchSlowSpell()
+{
+    asio::steady_timer timer(m_loop);
+    while (m_slots.use().waiting > 0 && m_host.isSlow(SteadyClock().now())) {
+        timer.expires_after(HostSlowness::Freshness);
+        ErrorCode ignored; // the timer is not cancelled
+        co_await timer.async_wait(into(ignored));
+        co_await refreshHost();
+        m_slots.grantNext(SteadyClock().now());
+    }
+    m_isWatchingSpell = false;
+}
+
 Task<std::optional<ForwardResult>> TargetService::waitForSlot(const ForwardRequest &request, CancellationPtr cancellation)
 {
     const auto end = std::make_shared<std::optional<SlotEnd>>();
@@ -162,6 +192,9 @@
     if (!decision.ticket) {
         co_return ForwardResult::notRun(decision.reason, decision.retryAfter);
     }
+    if (m_host.isSlow(SteadyClock().now()) && !std::exchange(m_isWatchingSpell, true)) {
+        asio::co_spawn(m_loop, watchSlowSpell(), asio::detached);
+    }
     const Cancellation::Registration registration(*cancellation, [timer] { timer->cancel(); });
     ErrorCode ignored; // the timer is cancelled when the wait ends early
     co_await timer->async_wait(into(ignored));
@@ -210,6 +243,10 @@
         co_return ForwardResult::notRun(*reason);
     }
     const SuspensionMeter suspension;
+    co_await refreshHost();
+    if (const auto reason = reasonToRefuse(request)) {
+        co_return ForwardResult::notRun(*reason);
+    }
     if (auto refused = co_await waitForSlot(request, cancellation)) {
         co_return std::move(*refused);
     }
@@ -224,7 +261,9 @@
     } else {
         result = co_await dispatch(request, cancellation);
     }
-    m_slots.release(SteadyClock().now());
+    const TimePoint now = SteadyClock().now();
+    applyHost(now);
+    m_slots.release(now);
     co_return result;
 }
 
@@ -244,6 +283,7 @@
     const uint64_t run = ++m_lastRun;
     m_inFlight.emplace(run, request.fingerprint);
     const TimePoint start = SteadyClock().now();
+    const bool isHostSlow = m_host.isSlow(start);
     const SlotTuner::Mark mark = m_tuner.onStart(m_slots.use().running, start);
     applyLimit();
     ExchangeOptions options;
@@ -256,7 +296,8 @@
     const ExchangeEnd end = exchange.end;
     ForwardResult result = classify(request, std::move(exchange));
     result.serviceTime = SteadyClock().now() - start;
-    if (result.outcome == Outcome::Ran) {
+    result.isTypical = result.outcome == Outcome::Ran && !isHostSlow;
+    if (result.isTypical) {
         m_slots.observeWork(result.serviceTime);
         m_work.observe(request.route, result.serviceTime);
         m_tuner.onAnswer(mark, m_slots.use().running, request.route, std::chrono::duration<double>(result.serviceTime).count());
@@ -313,14 +354,17 @@
     return result;
 }
 
-void TargetService::readLoad(const HttpResponse &response)
+/** @return whether the response tells how slow the VM is */
+bool TargetService::readLoad(const HttpResponse &response)
 {
     constexpr size_t SlownessIndex = 3;
     constexpr double Percent = 100;
     const std::vector<uint32_t> numbers = readNumbers(fieldText(response, m_headers.load));
-    if (numbers.size() > SlownessIndex) {
-        m_slowness = std::max(numbers[SlownessIndex] / Percent, 0.1);
+    if (numbers.size() <= SlownessIndex) {
+        return false;
     }
+    m_host.observe(numbers[SlownessIndex] / Percent, SteadyClock().now());
+    return true;
 }
 
 /** A backend server that refuses connections after it lost a request has ended while it ran what was in flight. */
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -2,10 +2,12 @@
 
 #include <carobjunction/process/backendgate.h>
 #include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/hostslowness.h>
 #include <carobjunction/process/slotqueue.h>
 #include <carobjunction/process/slottuner.h>
 
 #include "connection/httpclientpool.h"
+#include "process/backendprobe.h"
 #include "process/eventlog.h"
 #include "process/workestimates.h"
 #include "request/forwarding.h"
@@ -21,6 +23,7 @@
 struct TargetHooks {
     std::function<void()> onRecordChanged; /**< The backend server's record is another. */
     std::function<void(const CrashReport &)> onCrash; /**< The backend server ended while it ran a request. */
+    std::function<std::string(const std::string &service)> healthPath; /**< Health path of a service; empty if not known. */
 };
 
 /**
@@ -61,6 +64,11 @@
         m_tuner.learn(others);
     }
 
+    const Tcp::endpoint &backendAddress() const
+    {
+        return m_backend->server();
+    }
+
     const BackendRecord &record() const
     {
         return m_gate.record();
@@ -71,6 +79,9 @@
     void logRefusal(const ForwardRequest &request, const ForwardResult &result) const;
     std::optional<Reason> reasonToRefuse(const ForwardRequest &request) const;
     Task<std::optional<ForwardResult>> waitForSlot(const ForwardRequest &request, CancellationPtr cancellation);
+    Task<void> refreshHost();
+    Task<void> watchSlowSpell();
+    void applyHost(TimePoint now);
     Task<ForwardResult> dispatch(ForwardRequest &request, CancellationPtr cancellation);
     void applyLimit();
     HttpRequest toBackendMessage(ForwardRequest &request) const;
@@ -78,7 +89,7 @@
     ForwardResult classifyAnswer(const ForwardRequest &request, HttpResponse response);
     Task<void> checkForCrash();
     void onRecordChanged();
-    void readLoad(const HttpResponse &response);
+    bool readLoad(const HttpResponse &response);
 
     asio::io_context &m_loop;
     std::shared_ptr<HttpClientPool> m_backend;
@@ -91,7 +102,9 @@
     SlotTuner m_tuner;
     std::map<uint64_t, uint64_t> m_inFlight; /**< Fingerprints of the requests at the backend server, by run. */
     uint64_t m_lastRun = 0;
-    double m_slowness = 1;
+    HostSlowness m_host;
+    BackendProbe m_probe;
+    bool m_isWatchingSpell = false;
     bool m_isStopping = false;
 };
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -69,8 +69,9 @@
                    m_crashes,
                    m_work,
                    TargetHooks { [this] { onTargetChanged(); },
-                                 [this](const CrashReport &report) {
-                                     onCrash(report);
+                                 [this](const CrashReport &report) { onCrash(report); },
+                                 [this](const std::string &service) {
+                                     return healthPath(service);
                                  } })
         , m_sync(loop, m_settings, m_directory, m_crashes, m_metrics)
         , m_router(RouterEnvironment { [this] { return m_sync.routes(); },
@@ -262,6 +263,13 @@
         co_return co_await m_sync.peers().forward(vm->record.address, m_directory.isSameRegion(vm->record), std::move(request), std::move(cancellation));
     }
 
+    std::string healthPath(const std::string &service) const
+    {
+        const auto routes = m_sync.routes();
+        const ServiceRules *rules = routes ? routes->service(service) : nullptr;
+        return rules == nullptr ? "" : rules->healthPath;
+    }
+
     void onTargetChanged()
     {
         m_sync.setBackend(m_target.record());
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -26,9 +26,10 @@
         && query.excluded.count(record.daemon) == 0;
 }
 
-bool hasRoom(const VmView &vm)
+bool hasRoom(const VmView &vm, TimePoint now)
 {
-    return vm.report.limit == 0 || vm.report.running + vm.report.waiting + vm.sentSince < vm.report.limit;
+    const bool isSlow = now - vm.reportedAt < VmDirectory::SlownessAge && vm.report.slowness > HostSlowness::CalmLimit;
+    return !isSlow && (vm.report.limit == 0 || vm.report.running + vm.report.waiting + vm.sentSince < vm.report.limit);
 }
 
 } // namespace
@@ -139,11 +140,11 @@
     }
     switch (query.scope) {
     case TargetScope::RegionWithRoom:
-        return isSameRegion(vm.record) && hasRoom(vm);
+        return isSameRegion(vm.record) && hasRoom(vm, now);
     case TargetScope::Region:
         return isSameRegion(vm.record);
     case TargetScope::OtherRegionWithRoom:
-        return !isSameRegion(vm.record) && hasRoom(vm);
+        return !isSameRegion(vm.record) && hasRoom(vm, now);
     case TargetScope::Anywhere:
         break;
     }
--- a/src/request/forwarding.h
+++ b/src/request/forwarding.h
@@ -39,6 +39,7 @@
     HttpResponse response; /**< The backend server's answer; only if the outcome is Ran. */
     std::optional<TargetReport> report;
     Duration serviceTime = Duration::zero(); /**< Time at the backend server. */
+    bool isTypical = false; /**< Whether serviceTime tells what such requests usually take. */
     Duration retryAfter = Duration::zero(); /**< Time after which the target expects to have room; for refusals. */
     std::string detail; /**< Last error of the connection, if one ended the attempt. */
 
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -337,7 +337,9 @@
     const bool isFailure = result.response.result_int() >= 500;
     m_directory.onEnded(daemon, isFailure, now);
     if (!isFailure) {
-        m_work.observe(call.request.route, result.serviceTime);
+        if (result.isTypical) {
+            m_work.observe(call.request.route, result.serviceTime);
+        }
         return std::move(result.response);
     }
     call.failure = std::move(result.response);
@@ -357,7 +359,7 @@
     } else {
         m_directory.onEnded(daemon, isFault, now);
     }
-    if (result.reason == Reason::Full || result.reason == Reason::DeadlineTooShort) {
+    if (result.reason == Reason::Full || result.reason == Reason::HostSlow || result.reason == Reason::DeadlineTooShort) {
         call.refusals[daemon] = result.retryAfter;
     }
     if (result.reason == Reason::Condemned) {
--- /dev/null
+++ b/tests/process/hostslownesstest.cpp
@@ -0,0 +1,55 @@
+#include "fakeclock.h"
+
+#include <carobjunction/process/hostslowness.h>
+
+#include <catch2/catch.hpp>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+struct HostSlownessFixture {
+    void observe(double factor)
+    {
+        host.observe(factor, clock.now());
+    }
+
+    FakeClock clock;
+    HostSlowness host;
+};
+
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.noReading.countsAsUsual")
+{
+    // Guards against requests that are held back because nothing is known.
+    CHECK_FALSE(host.isFresh(clock.now()));
+    CHECK_FALSE(host.isSlow(clock.now()));
+    CHECK(host.factor(clock.now()) == 1);
+}
+
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.oldReading.countsAsUsual")
+{
+    // Guards against a VM that is avoided for a spell that ended long ago.
+    observe(5);
+    CHECK(host.isSlow(clock.now()));
+    clock.advance(HostSlowness::Freshness + 1ms);
+    CHECK_FALSE(host.isFresh(clock.now()));
+    CHECK(host.isSlow(clock.now()));
+    clock.advance(HostSlowness::Expiry);
+    CHECK_FALSE(host.isSlow(clock.now()));
+}
+
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.longSpell.isNotExpectedToPass")
+{
+    // Guards against requests that wait to their deadline for a VM that stays slow.
+    for (Duration passed = 0ms; passed < HostSlowness::LongSpell; passed += 20ms) {
+        observe(5);
+        CHECK(host.isPassing(clock.now()));
+        clock.advance(20ms);
+    }
+    observe(5);
+    CHECK(host.isSlow(clock.now()));
+    CHECK_FALSE(host.isPassing(clock.now()));
+    observe(1);
+    clock.advance(20ms);
+    observe(5);
+    CHECK(host.isPassing(clock.now()));
+}
--- a/tests/process/slotqueuetest.cpp
+++ b/tests/process/slotqueuetest.cpp
@@ -159,3 +159,69 @@
     CHECK(ended == std::vector<std::string> { "a" });
     CHECK(queue.use().waiting == 0);
 }
+
+struct SlowHostFixture : SlotQueueFixture {
+    void setHost(double factor, bool isPassing = true)
+    {
+        queue.setHost({ factor, factor > 1, isPassing });
+    }
+};
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slowSpell.refusesWhatCanGoElsewhere")
+{
+    // Pattern: a VM is slow for some 150 ms at a time; work that starts then takes five times as long, and other VMs are as usual.
+    setHost(5);
+    SlotRequest wanted = request(1, 300ms, 2s);
+    wanted.mayQueue = false;
+    const auto refused = offer(wanted);
+    CHECK_FALSE(refused.isGranted);
+    CHECK(refused.reason == Reason::HostSlow);
+    CHECK(refused.retryAfter > 0ms);
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slowSpell.isWaitedOut")
+{
+    // Pattern: all VMs of a service are slow at once; waiting for the end of the spell is sooner than starting in it.
+    setHost(5);
+    CHECK(offer(request(1, 300ms, 2s), "lookup").ticket.has_value());
+    clock.advance(20ms);
+    queue.grantNext(clock.now());
+    CHECK(granted.empty());
+    setHost(1);
+    queue.grantNext(clock.now());
+    CHECK(granted == std::vector<std::string> { "lookup" });
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slowSpellWithTimeEnough.startsAtOnce")
+{
+    // Guards against a wait that gains nothing: the answer is in good time all the same.
+    setHost(5);
+    CHECK(offer(request(1, 600ms, 2s)).isGranted);
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.releasedSlotInASlowSpell.isNotGranted")
+{
+    // Guards against a spell that is noticed when requests wait already.
+    fill();
+    CHECK(offer(request(1, 300ms, 2s), "lookup").ticket.has_value());
+    setHost(5);
+    queue.release(clock.now());
+    CHECK(granted.empty());
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slownessThatStays.startsWhatCanStillBeAnswered")
+{
+    // Pattern: a VM is slow for seconds; requests that wait for its end miss their deadlines.
+    setHost(5, false);
+    CHECK(offer(request(1, 300ms, 2s)).isGranted);
+    CHECK(offer(request(1, 100ms, 200ms)).reason == Reason::DeadlineTooShort);
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slownessThatStays.endsHopelessWaits")
+{
+    setHost(5);
+    CHECK(offer(request(1, 100ms, 240ms), "lookup").ticket.has_value());
+    setHost(5, false);
+    queue.expire(clock.now());
+    CHECK(ended == std::vector<std::string> { "lookup" });
+}
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -1,4 +1,5 @@
 #include "process/targetservice.h"
+#include "connection/httplistener.h"
 
 #include <catch2/catch.hpp>
 
@@ -20,8 +21,9 @@
                        crashes,
                        work,
                        TargetHooks { [] {},
-                                     [this](const CrashReport &) {
-                                         ++reportedCrashes;
+                                     [this](const CrashReport &) { ++reportedCrashes; },
+                                     [this](const std::string &) {
+                                         return healthPath;
                                      } });
         Heartbeat beat;
         beat.id = "backend";
@@ -56,6 +58,7 @@
     Tcp::acceptor acceptor { loop };
     std::optional<TargetService> target;
     int reportedCrashes = 0;
+    std::string healthPath;
 };
 
 TEST_CASE_METHOD(TargetServiceFixture, "TargetService.lostAnswerOfAServerThatTakesNoConnection.isReportedInBoundedTime")
@@ -79,3 +82,114 @@
     CHECK(reportedCrashes == 0);
     CHECK(target->report().running == 0);
 }
+
+/** The backend server answers and tells how slow its VM is. */
+struct SlowVmFixture : TargetServiceFixture {
+    SlowVmFixture()
+    {
+        acceptor.close();
+        ErrorCode error;
+        backend = HttpListener::open(
+            loop,
+            target->backendAddress(),
+            [this](HttpRequest message, CancellationPtr) { return answer(std::move(message)); },
+            [] { return ListenerLimits {}; },
+            error);
+        REQUIRE(backend != nullptr);
+        healthPath = "/health";
+    }
+
+    Task<MaybeResponse> answer(HttpRequest message)
+    {
+        HttpResponse response(http::status::ok, 11);
+        if (tellsSlowness) {
+            response.set("Load", isSlow ? "0,0,9,500" : "0,0,9,100");
+        }
+        if (message.target() == "/health") {
+            ++questions;
+            co_return response;
+        }
+        startedSlow += isSlow ? 1 : 0;
+        response.set("Request-Id", "r1");
+        response.set("Seal", "seal");
+        co_return response;
+    }
+
+    std::shared_ptr<std::optional<ForwardResult>> begin(ForwardRequest wanted)
+    {
+        const auto result = std::make_shared<std::optional<ForwardResult>>();
+        asio::co_spawn(
+            loop, [this, result, wanted]() -> Task<void> { *result = co_await target->run(wanted, std::make_shared<Cancellation>()); }, asio::detached);
+        return result;
+    }
+
+    ForwardRequest urgentRequest() const
+    {
+        ForwardRequest wanted = request();
+        wanted.work = 100ms;
+        wanted.aimAt = SteadyClock().now() + 300ms;
+        return wanted;
+    }
+
+    std::shared_ptr<HttpListener> backend;
+    bool isSlow = false;
+    bool tellsSlowness = true;
+    int questions = 0;
+    int startedSlow = 0;
+};
+
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.slowVm.refusesWhatCanGoElsewhere")
+{
+    // Guards against work that starts in a slow spell: it takes several times as long, to its end.
+    isSlow = true;
+    const auto result = begin(urgentRequest());
+    runFor(100ms);
+    REQUIRE(result->has_value());
+    CHECK((*result)->outcome == Outcome::NotRun);
+    CHECK((*result)->reason == Reason::HostSlow);
+    CHECK(startedSlow == 0);
+}
+
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.slowSpellEnds.startsWhatWaits")
+{
+    // Guards against requests that wait until the next answer or tick after the spell has ended.
+    isSlow = true;
+    ForwardRequest wanted = urgentRequest();
+    wanted.mayQueue = true;
+    const auto result = begin(wanted);
+    runFor(60ms);
+    CHECK_FALSE(result->has_value());
+    isSlow = false;
+    runFor(100ms);
+    REQUIRE(result->has_value());
+    CHECK((*result)->outcome == Outcome::Ran);
+    CHECK(startedSlow == 0);
+}
+
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.simultaneousRequests.shareOneQuestion")
+{
+    // Guards against probes that grow with the load.
+    std::vector<std::shared_ptr<std::optional<ForwardResult>>> results;
+    for (int i = 0; i < 5; ++i) {
+        results.push_back(begin(urgentRequest()));
+    }
+    runFor(100ms);
+    for (const auto &result : results) {
+        REQUIRE(result->has_value());
+        CHECK((*result)->outcome == Outcome::Ran);
+    }
+    CHECK(questions == 1);
+}
+
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.serverThatTellsNoSlowness.isNotAskedAgain")
+{
+    // Guards against requests that wait for an answer which never tells anything.
+    tellsSlowness = false;
+    for (int i = 0; i < 3; ++i) {
+        const auto result = begin(urgentRequest());
+        runFor(50ms);
+        REQUIRE(result->has_value());
+        CHECK((*result)->outcome == Outcome::Ran);
+    }
+    CHECK(questions == 1);
+}
