Remember the leave of a backend server that the daemon has not heard of

The daemon of sidecar-pil-b-3 was restarted at 23.33 s; at 23.37 s its backend server, which never says that it drains, sent its leave, and the daemon acknowledged it without keeping it, since it knew no such process. At 26.00 s a heartbeat from before the leave arrived and opened the gate. Change: a leave of an unknown process is kept for 30 s; a heartbeat with that id opens the gate only if the process was born later. Conclusion: the restart alone did it; load had no part.

--- a/include/carobjunction/process/backendgate.h
+++ b/include/carobjunction/process/backendgate.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/clock.h>
 #include <carobjunction/process/vmrecord.h>
 
+#include <map>
 #include <string>
 
 namespace carobjunction
@@ -46,8 +47,16 @@
 
     HeartbeatEffect onHeartbeat(const Heartbeat &beat, TimePoint now);
 
-    /** The backend server says that it ends. @return whether the record changed */
-    bool onLeave(const std::string &id);
+    /** Time for which a leave counts against a process whose start is not known to be later. */
+    static constexpr Duration DepartureMemory = std::chrono::seconds(30);
+
+    /**
+     * The backend server says that it ends. This binds also if nothing was heard of it before, since its daemon may have been
+     * restarted, and a heartbeat from before the leave may still arrive.
+     * @param unixMs  time of day, by which a later process with the same id is told apart
+     * @return whether the record changed
+     */
+    bool onLeave(const std::string &id, TimePoint now, uint64_t unixMs);
 
     /** Another process answered at the address, or none did. Closes the gate until the next heartbeat. @return whether the record changed */
     bool onLost();
@@ -72,12 +81,21 @@
     }
 
 private:
+    /** A process that said that it ends. */
+    struct Departure {
+        TimePoint notedAt;
+        uint64_t unixMs = 0;
+    };
+
     bool isFormerProcess(const Heartbeat &beat) const;
+    bool hasDeparted(const Heartbeat &beat, TimePoint now) const;
+    void noteDeparture(const std::string &id, TimePoint now, uint64_t unixMs);
 
     Duration m_silenceLimit;
     BackendRecord m_record;
     uint64_t m_sequence = 0;
     bool m_leaving = false;
+    std::map<std::string, Departure> m_departures; /**< By id. */
     TimePoint m_heardAt;
     TimePoint m_coldUntil;
 };
--- a/src/process/backendgate.cpp
+++ b/src/process/backendgate.cpp
@@ -11,6 +11,18 @@
     return beat.id == m_record.id && beat.sequence <= m_sequence;
 }
 
+bool BackendGate::hasDeparted(const Heartbeat &beat, TimePoint now) const
+{
+    const auto found = m_departures.find(beat.id);
+    return found != m_departures.end() && beat.bornMs <= found->second.unixMs && now - found->second.notedAt < DepartureMemory;
+}
+
+void BackendGate::noteDeparture(const std::string &id, TimePoint now, uint64_t unixMs)
+{
+    std::erase_if(m_departures, [now](const auto &entry) { return now - entry.second.notedAt >= DepartureMemory; });
+    m_departures[id] = { now, unixMs };
+}
+
 HeartbeatEffect BackendGate::onHeartbeat(const Heartbeat &beat, TimePoint now)
 {
     const bool known = !m_record.id.empty();
@@ -21,7 +33,7 @@
     if (!sameProcess) {
         m_leaving = false;
     }
-    m_leaving = m_leaving || beat.draining;
+    m_leaving = m_leaving || beat.draining || hasDeparted(beat, now);
     m_sequence = beat.sequence;
     m_heardAt = now;
     m_coldUntil = now + beat.coldRemaining;
@@ -35,9 +47,10 @@
     return HeartbeatEffect::Changed;
 }
 
-bool BackendGate::onLeave(const std::string &id)
+bool BackendGate::onLeave(const std::string &id, TimePoint now, uint64_t unixMs)
 {
     if (m_record.id != id) {
+        noteDeparture(id, now, unixMs);
         return false;
     }
     m_leaving = true;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -5,6 +5,7 @@
 #include "connection/connectiontimer.h"
 #include "connection/messagefields.h"
 #include "process/suspension.h"
+#include "process/wallclock.h"
 
 #include <charconv>
 
@@ -87,7 +88,7 @@
 
 void TargetService::onLeave(const std::string &id)
 {
-    if (m_gate.onLeave(id)) {
+    if (m_gate.onLeave(id, SteadyClock().now(), static_cast<uint64_t>(SystemWallClock().nowMs()))) {
         onRecordChanged();
     }
 }
--- a/tests/process/backendgatetest.cpp
+++ b/tests/process/backendgatetest.cpp
@@ -26,6 +26,11 @@
 } // namespace
 
 struct BackendGateFixture {
+    bool leave(const std::string &id, uint64_t unixMs = 1000)
+    {
+        return gate.onLeave(id, clock.now(), unixMs);
+    }
+
     FakeClock clock;
     BackendGate gate { 3s };
 };
@@ -50,12 +55,38 @@
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveWithoutDraining.staysClosed")
 {
     gate.onHeartbeat(beat("a", 1, 1), clock.now());
-    CHECK(gate.onLeave("a"));
+    CHECK(leave("a"));
     gate.onHeartbeat(beat("a", 1, 2), clock.now());
     CHECK_FALSE(gate.isOpen());
     CHECK(gate.record().state == BackendState::Gone);
 }
 
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveAfterARestartOfTheDaemon.staysClosed")
+{
+    // Guards against a heartbeat sent before the leave that arrives after it, at a daemon that knew nothing of the process.
+    CHECK_FALSE(leave("a", 1000));
+    gate.onHeartbeat(beat("a", 1, 7), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    gate.onHeartbeat(beat("a", 0, 8), clock.now());
+    CHECK_FALSE(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.laterProcessWithTheIdOfOneThatLeft.opens")
+{
+    leave("a", 1000);
+    gate.onHeartbeat(beat("a", 1001, 1), clock.now());
+    CHECK(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.longPastLeaveOfAnUnknownProcess.isForgotten")
+{
+    // Guards against a gate that a jump of the time of day closes for good.
+    leave("a", 5000);
+    clock.advance(BackendGate::DepartureMemory);
+    gate.onHeartbeat(beat("a", 4000, 1), clock.now());
+    CHECK(gate.isOpen());
+}
+
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.delayedHeartbeatOfAFormerProcess.changesNothing")
 {
     // Guards against a beat held up by a partition that arrives after its sender crashed and another process registered.
@@ -69,7 +100,7 @@
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.sameIdWithALaterBirth.opensAgain")
 {
     gate.onHeartbeat(beat("a", 1, 7), clock.now());
-    gate.onLeave("a");
+    leave("a");
     CHECK(gate.onHeartbeat(beat("a", 2, 1), clock.now()) == HeartbeatEffect::Changed);
     CHECK(gate.isOpen());
 }
@@ -98,10 +129,8 @@
             const std::string id = "p" + std::to_string(born);
             const int kind = *rc::gen::inRange(0, 4);
             if (kind == 0) {
-                if (gate.record().id == id) {
-                    left.insert(born);
-                }
-                gate.onLeave(id);
+                left.insert(born);
+                gate.onLeave(id, clock.now(), 1000);
             } else {
                 const bool draining = kind == 1;
                 const auto effect = gate.onHeartbeat(beat(id, born, *rc::gen::inRange(1, 20), draining), clock.now());
