Count slowness that lasts as usual

A backend server that has just started tells a slowness of 200 for 3 s, which was taken as a spell that passes. Change: a spell is slowness beyond 1.5 times the least reading of the last second; what was usual before, or 2 for a cold server, stands in until that second is full. Reports tell whether the VM is in a spell, and a cold server's factor is counted once. After four tries for a free slot the request waits at a target. HostSlowness.coldServer and VmDirectory.coldServerThatTellsItsSlowness fail with the former rule.

--- a/include/carobjunction/process/hostslowness.h
+++ b/include/carobjunction/process/hostslowness.h
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/clock.h>
 
+#include <deque>
 #include <optional>
 
 namespace carobjunction
@@ -9,7 +10,8 @@
 
 /**
  * How slow work is at this moment on the VM of a backend server, which shares its host with others. Work that starts in a slow spell
- * takes several times as long, and spells come and go within fractions of a second. Not thread-safe.
+ * takes several times as long, and spells come and go within fractions of a second. Slowness that lasts, such as that of a backend
+ * server that has just started, is not worth waiting for: it counts as usual. Not thread-safe.
  */
 class HostSlowness
 {
@@ -18,40 +20,50 @@
     static constexpr Duration Freshness = std::chrono::milliseconds(20);
     /** Age from which on a reading tells nothing. */
     static constexpr Duration Expiry = std::chrono::milliseconds(150);
-    /** Factor up to which work counts as usual. */
-    static constexpr double CalmLimit = 1.5;
-    /** A spell that has lasted this long is not expected to end soon. */
-    static constexpr Duration LongSpell = std::chrono::seconds(1);
+    /** Work that takes this many times longer than usual is slow. */
+    static constexpr double SpellFactor = 1.5;
+    /** Time over which the least factor counts as usual. Longer than nearly all spells. */
+    static constexpr Duration UsualWindow = std::chrono::seconds(1);
+    /** Usual factor of a backend server that has just started, before readings show it. */
+    static constexpr double ColdFactor = 2;
 
-    /** @param factor  time that work takes, relative to what is usual */
-    void observe(double factor, TimePoint now);
+    /**
+     * @param factor  time that work takes, relative to a calm VM
+     * @param isCold  whether the backend server has just started
+     */
+    void observe(double factor, bool isCold, TimePoint now);
 
     bool isFresh(TimePoint now) const
     {
-        return m_readAt && now - *m_readAt <= Freshness;
+        return !m_readings.empty() && now - m_readings.back().at <= Freshness;
     }
 
-    /** @return time that work takes, relative to what is usual; 1 if the last reading is too old to tell */
+    /** @return time that work takes, relative to a calm VM; 1 if the last reading is too old to tell */
     double factor(TimePoint now) const
     {
-        return m_readAt && now - *m_readAt <= Expiry ? m_factor : 1;
+        return m_readings.empty() || now - m_readings.back().at > Expiry ? 1 : m_readings.back().factor;
     }
 
-    bool isSlow(TimePoint now) const
+    /** @return the factor that work has when the present spell is over */
+    double usualFactor() const
     {
-        return factor(now) > CalmLimit;
+        return m_usual;
     }
 
-    /** @return whether work is slow and likely to be as usual again soon */
-    bool isPassing(TimePoint now) const
+    /** @return whether work is slow now and likely to be faster soon */
+    bool isSlow(TimePoint now) const
     {
-        return isSlow(now) && now - m_slowSince < LongSpell;
+        return factor(now) > SpellFactor * m_usual;
     }
 
 private:
-    double m_factor = 1;
-    std::optional<TimePoint> m_readAt; /**< Empty before the first reading. */
-    TimePoint m_slowSince;
+    struct Reading {
+        TimePoint at;
+        double factor = 1;
+    };
+
+    std::deque<Reading> m_readings; /**< Of the last UsualWindow. */
+    double m_usual = 1;
 };
 
 } // namespace carobjunction
--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -31,9 +31,9 @@
 
 /** How slow work is on the backend server's VM at this moment. */
 struct HostState {
-    double factor = 1; /**< Time that work takes, relative to what is usual. */
-    bool isSlow = false;
-    bool isPassing = false; /**< Slow, and likely to be as usual again soon. */
+    double factor = 1; /**< Time that work takes, relative to a calm VM. */
+    double usualFactor = 1; /**< The same when the present slow spell is over. */
+    bool isSlow = false; /**< Work is slow, and likely to be faster soon. */
 };
 
 /** Slots of a target at one moment. */
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -20,8 +20,9 @@
     uint32_t running = 0;
     uint32_t waiting = 0;
     uint32_t limit = 0; /**< Requests that may run at once. */
-    double slowness = 1; /**< How long work takes on the VM at this moment; 1 means as usual. */
+    double slowness = 1; /**< How long work takes on the VM at this moment; 1 means as on a calm VM. */
     bool cold = false; /**< The backend server is slow because it started a short time ago. */
+    bool slowSpell = false; /**< Work is slow on the VM, and likely to be faster soon. */
     SlotEvidence slots; /**< Whether its last slots pay. Sent by gossip only. */
 };
 
--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -24,7 +24,13 @@
 TargetReport readReport(const Json &list)
 {
     return {
-        list.at(0).get<uint32_t>(), list.at(1).get<uint32_t>(), list.at(2).get<uint32_t>(), list.at(3).get<double>() / Percent, list.at(4).get<int>() != 0
+        list.at(0).get<uint32_t>(),
+        list.at(1).get<uint32_t>(),
+        list.at(2).get<uint32_t>(),
+        list.at(3).get<double>() / Percent,
+        list.at(4).get<int>() != 0,
+        list.at(5).get<int>() != 0,
+        {},
     };
 }
 
@@ -81,7 +87,8 @@
                  { "retry", toMs(result.retryAfter) } };
     if (result.report) {
         const TargetReport &report = *result.report;
-        field["load"] = { report.running, report.waiting, report.limit, static_cast<int>(report.slowness * Percent), report.cold ? 1 : 0 };
+        field["load"]
+            = { report.running, report.waiting, report.limit, static_cast<int>(report.slowness * Percent), report.cold ? 1 : 0, report.slowSpell ? 1 : 0 };
     }
     HttpResponse message = std::move(result.response);
     if (result.outcome != Outcome::Ran) {
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -44,7 +44,7 @@
                          revision,
                          peerAddress,
                          configVersion,
-                         { report.running, report.waiting, report.limit, toPercent(report.slowness), report.cold },
+                         { report.running, report.waiting, report.limit, toPercent(report.slowness), report.cold, report.slowSpell },
                          std::move(crashList),
                          { toJson(report.slots.upper), toJson(report.slots.lower) },
                          record ? VmRecordCodec::encode(*record) : "" };
@@ -68,6 +68,7 @@
         message.report.limit = report.at(2).get<uint32_t>();
         message.report.slowness = report.at(3).get<uint32_t>() / Percent;
         message.report.cold = report.at(4).get<bool>();
+        message.report.slowSpell = report.at(5).get<bool>();
         message.report.slots = { readMeans(json.at(7).at(0)), readMeans(json.at(7).at(1)) };
         if (const auto text = json.at(8).get<std::string>(); !text.empty()) {
             message.record = VmRecordCodec::decode(text);
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -34,10 +34,10 @@
     return m_running < (isShort(request) ? m_slots : m_limit);
 }
 
-/** @return time that the backend server takes for the request; a passing slow spell is waited out */
+/** @return time that the backend server takes for the request; a slow spell is waited out */
 Duration SlotQueue::expectedWork(const SlotRequest &request) const
 {
-    return m_host.isSlow && !m_host.isPassing ? scaled(request.work, m_host.factor) : request.work;
+    return scaled(request.work, m_host.isSlow ? m_host.usualFactor : m_host.factor);
 }
 
 bool SlotQueue::isWorthStarting(const SlotRequest &request, TimePoint now) const
@@ -45,13 +45,12 @@
     if (!m_host.isSlow) {
         return true;
     }
-    const TimePoint end = now + scaled(request.work, m_host.factor);
-    return request.mayQueue && end <= (m_host.isPassing ? request.aimAt : request.deadlineAt);
+    return request.mayQueue && now + scaled(request.work, m_host.factor) <= request.aimAt;
 }
 
 Duration SlotQueue::predictedWait(size_t ahead) const
 {
-    const Duration spell = m_host.isPassing ? SpellRest : Duration::zero();
+    const Duration spell = m_host.isSlow ? SpellRest : Duration::zero();
     if (m_running < m_limit) {
         return spell;
     }
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -126,7 +126,7 @@
 {
     const SlotUse use = m_slots.use();
     const TimePoint now = SteadyClock().now();
-    return { use.running, use.waiting, use.limit, m_host.factor(now), m_gate.isCold(now), m_tuner.evidence() };
+    return { use.running, use.waiting, use.limit, m_host.factor(now), m_gate.isCold(now), m_host.isSlow(now), m_tuner.evidence() };
 }
 
 std::optional<Reason> TargetService::reasonToRefuse(const ForwardRequest &request) const
@@ -161,7 +161,7 @@
 
 void TargetService::applyHost(TimePoint now)
 {
-    m_slots.setHost({ m_host.factor(now), m_host.isSlow(now), m_host.isPassing(now) });
+    m_slots.setHost({ m_host.factor(now), m_host.usualFactor(), m_host.isSlow(now) });
 }
 
 /** Reads the VM's slowness again and again while requests wait for the end of a slow spell. */
@@ -364,7 +364,8 @@
     if (numbers.size() <= SlownessIndex) {
         return false;
     }
-    m_host.observe(numbers[SlownessIndex] / Percent, SteadyClock().now());
+    const TimePoint now = SteadyClock().now();
+    m_host.observe(numbers[SlownessIndex] / Percent, m_gate.isCold(now), now);
     return true;
 }
 
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr double FailureWeight = 0.1; // weight of one call in the smoothed share of failures
-constexpr double ColdFactor = 2; // work on a cold backend server takes about twice as long
 constexpr double CrowdedFactor = 1.7; // work beyond the limit slows all work of the backend server
 constexpr double JitterShare = 0.15;
 constexpr double UseWeight = 0.3; // of the slots in use, so that equal targets are filled evenly
@@ -28,7 +27,7 @@
 
 bool hasRoom(const VmView &vm, TimePoint now)
 {
-    const bool isSlow = now - vm.reportedAt < VmDirectory::SlownessAge && vm.report.slowness > HostSlowness::CalmLimit;
+    const bool isSlow = vm.report.slowSpell && now - vm.reportedAt < VmDirectory::SlownessAge;
     return !isSlow && (vm.report.limit == 0 || vm.report.running + vm.report.waiting + vm.sentSince < vm.report.limit);
 }
 
@@ -160,8 +159,9 @@
                                                   : OtherRegion;
     const uint32_t limit = std::max<uint32_t>(vm.report.limit, 1);
     const uint32_t busy = vm.report.running + vm.report.waiting + vm.sentSince;
-    const double slowness = now - vm.reportedAt < SlownessAge ? vm.report.slowness : 1;
-    const double factor = slowness * (vm.report.cold ? ColdFactor : 1) * (busy >= limit ? CrowdedFactor : 1);
+    const double usual = vm.report.cold ? HostSlowness::ColdFactor : 1;
+    const double slowness = now - vm.reportedAt < SlownessAge ? std::max(vm.report.slowness, usual) : usual;
+    const double factor = slowness * (busy >= limit ? CrowdedFactor : 1);
     const double excess = busy < limit ? 0 : static_cast<double>(busy - limit + 1) / limit;
     const double use = UseWeight * static_cast<double>(std::min(busy, limit)) / limit;
     const Duration work = scaled(query.work, factor);
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -242,8 +242,10 @@
     if (call.hops >= MaxHops) {
         return std::nullopt;
     }
-    if (auto free = chooseIn(call, TargetScope::RegionWithRoom, false, now)) {
-        return free;
+    if (call.hops < MaxFreeTries) {
+        if (auto free = chooseIn(call, TargetScope::RegionWithRoom, false, now)) {
+            return free;
+        }
     }
     if (auto queue = chooseQueue(call, call.request.aimAt, now)) {
         return queue;
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -38,6 +38,8 @@
 public:
     /** Calls to other daemons for one request. */
     static constexpr uint32_t MaxHops = 6;
+    /** Of these, calls to targets that are expected to have a free slot, before a wait at one of them. */
+    static constexpr uint32_t MaxFreeTries = 4;
     /** Time that a round trip to another region takes. */
     static constexpr Duration RegionRoundTrip = std::chrono::milliseconds(70);
 
--- a/tests/process/hostslownesstest.cpp
+++ b/tests/process/hostslownesstest.cpp
@@ -8,9 +8,9 @@
 using namespace std::chrono_literals;
 
 struct HostSlownessFixture {
-    void observe(double factor)
+    void observe(double factor, bool isCold = false)
     {
-        host.observe(factor, clock.now());
+        host.observe(factor, isCold, clock.now());
     }
 
     FakeClock clock;
@@ -37,19 +37,39 @@
     CHECK_FALSE(host.isSlow(clock.now()));
 }
 
-TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.longSpell.isNotExpectedToPass")
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.slownessThatLasts.countsAsUsual")
 {
     // Guards against requests that wait to their deadline for a VM that stays slow.
-    for (Duration passed = 0ms; passed < HostSlowness::LongSpell; passed += 20ms) {
+    for (Duration passed = 0ms; passed <= HostSlowness::UsualWindow; passed += 20ms) {
         observe(5);
-        CHECK(host.isPassing(clock.now()));
+        CHECK(host.isSlow(clock.now()));
         clock.advance(20ms);
     }
     observe(5);
-    CHECK(host.isSlow(clock.now()));
-    CHECK_FALSE(host.isPassing(clock.now()));
+    CHECK_FALSE(host.isSlow(clock.now()));
+    CHECK(host.factor(clock.now()) == 5);
     observe(1);
     clock.advance(20ms);
     observe(5);
-    CHECK(host.isPassing(clock.now()));
+    CHECK(host.isSlow(clock.now()));
+    CHECK(host.usualFactor() == 1);
+}
+
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.coldServer.isNotInASpell")
+{
+    // Guards against a whole service that refuses work for seconds after all its backend servers have restarted.
+    observe(2, true);
+    CHECK_FALSE(host.isSlow(clock.now()));
+    observe(10, true);
+    CHECK(host.isSlow(clock.now()));
+    CHECK(host.usualFactor() == 2);
+}
+
+TEST_CASE_METHOD(HostSlownessFixture, "HostSlowness.readingAfterAPause.isComparedWithWhatWasUsual")
+{
+    // Guards against a spell that counts as usual because it is the first thing seen after an idle time.
+    observe(1);
+    clock.advance(10s);
+    observe(5);
+    CHECK(host.isSlow(clock.now()));
 }
--- a/tests/process/slotqueuetest.cpp
+++ b/tests/process/slotqueuetest.cpp
@@ -161,9 +161,9 @@
 }
 
 struct SlowHostFixture : SlotQueueFixture {
-    void setHost(double factor, bool isPassing = true)
+    void setHost(double factor, double usualFactor = 1)
     {
-        queue.setHost({ factor, factor > 1, isPassing });
+        queue.setHost({ factor, usualFactor, factor > usualFactor });
     }
 };
 
@@ -212,7 +212,7 @@
 TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slownessThatStays.startsWhatCanStillBeAnswered")
 {
     // Pattern: a VM is slow for seconds; requests that wait for its end miss their deadlines.
-    setHost(5, false);
+    setHost(5, 5);
     CHECK(offer(request(1, 300ms, 2s)).isGranted);
     CHECK(offer(request(1, 100ms, 200ms)).reason == Reason::DeadlineTooShort);
 }
@@ -221,7 +221,7 @@
 {
     setHost(5);
     CHECK(offer(request(1, 100ms, 240ms), "lookup").ticket.has_value());
-    setHost(5, false);
+    setHost(5, 5);
     queue.expire(clock.now());
     CHECK(ended == std::vector<std::string> { "lookup" });
 }
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -136,3 +136,21 @@
         }
     }));
 }
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.slowSpell.countsAsNoRoomWhileItIsNews")
+{
+    // Pattern: a target refuses work in a slow spell; asking it again before the spell can have ended wastes a call.
+    directory.onReport("near", { 0, 0, 7, 5, false, true, {} }, clock.now());
+    CHECK(choose(TargetScope::RegionWithRoom) == "next");
+    clock.advance(VmDirectory::SlownessAge);
+    CHECK(choose(TargetScope::RegionWithRoom) == "near");
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.coldServerThatTellsItsSlowness.isNotCountedTwice")
+{
+    // Guards against a cold target that is taken as four times slower, so that the far region is preferred.
+    directory.onReport("near", { 0, 0, 7, 2, true, false, {} }, clock.now());
+    directory.onReport("next", { 7, 0, 7, 1, false, false, {} }, clock.now());
+    directory.onReport("far", { 7, 0, 7, 1, false, false, {} }, clock.now());
+    CHECK(choose(TargetScope::Anywhere) == "near");
+}
