Join the logs of several daemons in explain; serve latency histograms

Cause: the users ask for the way from a failed request's id to its cause by logs and metrics alone. The lines of a request stood in several logs, with clocks that differ; latencies were summaries, which can't be added up over daemons, and refusals had no reason in the figures. Latencies are histograms, refusals are counted by reason, and gauges show the configuration version, known VMs, the store's reachability and the slot limit.

--- /dev/null
+++ b/cli/logstory.cpp
@@ -0,0 +1,192 @@
+#include "logstory.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr auto ContextTime = std::chrono::seconds(5); // before and after the request
+constexpr int EventOfRequests = 2000; // events from here to the next thousand are of requests
+constexpr int EventOfTargets = 3000;
+
+std::optional<milliseconds> parseTime(std::string_view text)
+{
+    std::tm time {};
+    int fraction = 0;
+    const std::string copy(text);
+    const int read = std::sscanf(
+        copy.c_str(), "%4d-%2d-%2dT%2d:%2d:%2d.%3dZ", &time.tm_year, &time.tm_mon, &time.tm_mday, &time.tm_hour, &time.tm_min, &time.tm_sec, &fraction);
+    if (read != 7) {
+        return std::nullopt;
+    }
+    time.tm_year -= 1900;
+    time.tm_mon -= 1;
+    return std::chrono::seconds(timegm(&time)) + milliseconds(fraction);
+}
+
+/** Takes a quoted value, its opening quote already removed. */
+std::string takeQuoted(std::string_view &text)
+{
+    std::string value;
+    while (!text.empty() && text.front() != '"') {
+        if (text.front() == '\\' && text.size() > 1) {
+            text.remove_prefix(1);
+        }
+        value += text.front();
+        text.remove_prefix(1);
+    }
+    text.remove_prefix(text.empty() ? 0 : 1);
+    return value;
+}
+
+std::string takeWord(std::string_view &text, char end)
+{
+    const size_t length = std::min(text.find(end), text.size());
+    std::string word(text.substr(0, length));
+    text.remove_prefix(std::min(length + 1, text.size()));
+    return word;
+}
+
+void skipSpaces(std::string_view &text)
+{
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+}
+
+bool isContextOf(const LogLine &line, const std::string &daemon, const std::set<std::string> &backends, const std::set<std::string> &daemons)
+{
+    if (line.event >= EventOfRequests && line.event < EventOfTargets) {
+        return false;
+    }
+    const bool isOfBackend = line.event >= EventOfTargets && line.event < EventOfTargets + 1000 && backends.count(line.field("backend")) > 0;
+    const bool isOfDaemon = daemons.count(daemon) > 0 && (line.event < EventOfRequests || line.event >= 5000);
+    return isOfBackend || isOfDaemon;
+}
+
+/** Finds clocks that are ahead: an entry's line about an attempt can't be older than the target's daemon's line about it. */
+void findClocks(const std::vector<StoryStep> &steps, RequestStory &story)
+{
+    for (const StoryStep &entry : steps) {
+        const std::string other = entry.line.field("daemon");
+        if (other.empty() || other == entry.daemon) {
+            continue;
+        }
+        for (const StoryStep &decision : steps) {
+            const bool isSameAttempt = decision.daemon == other && decision.line.name == "admission-decided" && entry.line.name == "retry-decided"
+                && decision.line.field("backend") == entry.line.field("backend");
+            if (isSameAttempt && decision.line.time > entry.line.time) {
+                milliseconds &back = story.setBack[other];
+                back = std::max(back, decision.line.time - entry.line.time);
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::string LogLine::field(std::string_view wanted) const
+{
+    const auto found = std::find_if(fields.begin(), fields.end(), [wanted](const auto &entry) { return entry.first == wanted; });
+    return found == fields.end() ? "" : found->second;
+}
+
+std::optional<LogLine> parseLogLine(std::string_view text)
+{
+    LogLine line;
+    const auto time = parseTime(takeWord(text, ' '));
+    if (!time) {
+        return std::nullopt;
+    }
+    line.time = *time;
+    takeWord(text, ' '); // the level
+    skipSpaces(text);
+    while (!text.empty()) {
+        const std::string name = takeWord(text, '=');
+        const bool isQuoted = !text.empty() && text.front() == '"';
+        text.remove_prefix(isQuoted ? 1 : 0);
+        std::string value = isQuoted ? takeQuoted(text) : takeWord(text, ' ');
+        skipSpaces(text);
+        if (name == "event") {
+            line.event = std::atoi(value.c_str());
+        } else if (name == "name") {
+            line.name = std::move(value);
+        } else {
+            line.fields.emplace_back(name, std::move(value));
+        }
+    }
+    return line.event > 0 ? std::optional(std::move(line)) : std::nullopt;
+}
+
+std::optional<DaemonLog> readDaemonLog(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        printError(path + ": cannot be read");
+        return std::nullopt;
+    }
+    DaemonLog log;
+    log.daemon = std::filesystem::path(path).stem().string();
+    std::string text;
+    while (std::getline(file, text)) {
+        auto line = parseLogLine(text);
+        if (!line) {
+            continue; // output of another program in the same file
+        }
+        if (line->name == "daemon-started" && !line->field("daemon").empty()) {
+            log.daemon = line->field("daemon");
+        }
+        log.lines.push_back(std::move(*line));
+    }
+    return log;
+}
+
+RequestStory tellStory(const std::vector<DaemonLog> &logs, const std::string &requestId)
+{
+    RequestStory story;
+    std::set<std::string> backends;
+    std::set<std::string> daemons;
+    for (const DaemonLog &log : logs) {
+        for (const LogLine &line : log.lines) {
+            if (line.field("request") == requestId) {
+                story.steps.push_back({ log.daemon, line, false });
+                backends.insert(line.field("backend"));
+                daemons.insert(log.daemon);
+            }
+        }
+    }
+    backends.erase("");
+    if (story.steps.empty()) {
+        return story;
+    }
+    findClocks(story.steps, story);
+    const auto byTime = [](const StoryStep &a, const StoryStep &b) {
+        return a.line.time < b.line.time;
+    };
+    const auto [first, last] = std::minmax_element(story.steps.begin(), story.steps.end(), byTime);
+    const milliseconds from = first->line.time - ContextTime;
+    const milliseconds to = last->line.time + ContextTime;
+    for (const DaemonLog &log : logs) {
+        for (const LogLine &line : log.lines) {
+            if (line.time >= from && line.time <= to && isContextOf(line, log.daemon, backends, daemons)) {
+                story.steps.push_back({ log.daemon, line, true });
+            }
+        }
+    }
+    for (StoryStep &step : story.steps) {
+        const auto back = story.setBack.find(step.daemon);
+        step.line.time -= back == story.setBack.end() ? milliseconds(0) : back->second;
+    }
+    std::stable_sort(story.steps.begin(), story.steps.end(), byTime);
+    return story;
+}
+
+} // namespace carobjunction
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -17,6 +17,8 @@
 
 namespace acc = boost::accumulators;
 constexpr std::array<double, 4> Probabilities = { 0.5, 0.95, 0.99, 0.999 };
+constexpr std::array<double, 14> BucketSeconds = { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10 };
+constexpr std::string_view RefusalsByReason = "carobjunction_refusals_by_reason_total";
 
 } // namespace
 
@@ -25,8 +27,22 @@
 
     mutable std::mutex mutex;
     Accumulator accumulator { acc::extended_p_square_probabilities = Probabilities };
+    std::array<uint64_t, BucketSeconds.size()> buckets {}; /**< Values up to each bound, cumulative. */
 };
 
+namespace
+{
+
+template<typename T>
+std::string typeLine(const T &name, const char *type)
+{
+    std::ostringstream line;
+    line << "# TYPE " << name << ' ' << type << '\n';
+    return line.str();
+}
+
+} // namespace
+
 Metrics::Metrics()
 {
     for (auto &distribution : m_distributions) {
@@ -50,7 +66,22 @@
 {
     Distribution &distribution = *m_distributions[static_cast<size_t>(quantile)];
     const std::scoped_lock lock(distribution.mutex);
-    distribution.accumulator(std::chrono::duration<double>(duration).count());
+    const double seconds = std::chrono::duration<double>(duration).count();
+    distribution.accumulator(seconds);
+    for (size_t index = 0; index < BucketSeconds.size(); ++index) {
+        distribution.buckets[index] += seconds <= BucketSeconds[index] ? 1 : 0;
+    }
+}
+
+void Metrics::set(Gauge gauge, uint64_t value)
+{
+    m_gauges[static_cast<size_t>(gauge)].store(value, std::memory_order_relaxed);
+}
+
+void Metrics::addRefusal(Reason reason)
+{
+    add(Counter::Refusals);
+    m_refusals[static_cast<size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
 }
 
 std::string Metrics::toPrometheus() const
@@ -59,18 +90,41 @@
     for (const auto &[counter, name] : EnumNames<Counter>::Table) {
         text << "# TYPE " << name << " counter\n" << name << ' ' << value(counter) << '\n';
     }
-    for (const auto &[quantile, name] : EnumNames<Quantile>::Table) {
-        const Distribution &distribution = *m_distributions[static_cast<size_t>(quantile)];
-        const std::scoped_lock lock(distribution.mutex);
-        text << "# TYPE " << name << " summary\n";
-        const size_t count = acc::count(distribution.accumulator);
-        for (size_t index = 0; index < Probabilities.size() && count > 0; ++index) {
-            text << name << "{quantile=\"" << Probabilities[index] << "\"} " << acc::extended_p_square(distribution.accumulator)[static_cast<long>(index)]
-                 << '\n';
+    for (const auto &[gauge, name] : EnumNames<Gauge>::Table) {
+        text << typeLine(name, "gauge") << name << ' ' << m_gauges[static_cast<size_t>(gauge)].load(std::memory_order_relaxed) << '\n';
+    }
+    text << typeLine(RefusalsByReason, "counter");
+    for (const auto &[reason, name] : EnumNames<Reason>::Table) {
+        const uint64_t count = m_refusals[static_cast<size_t>(reason)].load(std::memory_order_relaxed);
+        if (count > 0) {
+            text << RefusalsByReason << "{reason=\"" << name << "\"} " << count << '\n';
         }
-        text << name << "_sum " << acc::sum(distribution.accumulator) << '\n' << name << "_count " << count << '\n';
+    }
+    for (const auto &[quantile, name] : EnumNames<Quantile>::Table) {
+        writeDistribution(text, std::string(name), *m_distributions[static_cast<size_t>(quantile)]);
     }
     return text.str();
 }
 
+/** Writes a histogram, and quantiles of all values since the start as gauges of their own name. */
+void Metrics::writeDistribution(std::ostream &text, const std::string &name, const Distribution &distribution)
+{
+    const std::scoped_lock lock(distribution.mutex);
+    const size_t count = acc::count(distribution.accumulator);
+    text << typeLine(name, "histogram");
+    for (size_t index = 0; index < BucketSeconds.size(); ++index) {
+        text << name << "_bucket{le=\"" << BucketSeconds[index] << "\"} " << distribution.buckets[index] << '\n';
+    }
+    text << name << "_bucket{le=\"+Inf\"} " << count << '\n' << name << "_sum " << acc::sum(distribution.accumulator) << '\n';
+    text << name << "_count " << count << '\n';
+    if (count == 0) {
+        return;
+    }
+    text << typeLine(name + "_quantile", "gauge");
+    for (size_t index = 0; index < Probabilities.size(); ++index) {
+        text << name << "_quantile{quantile=\"" << Probabilities[index] << "\"} " << acc::extended_p_square(distribution.accumulator)[static_cast<long>(index)]
+             << '\n';
+    }
+}
+
 } // namespace carobjunction
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -2,10 +2,12 @@
 
 #include <carobjunction/process/clock.h>
 #include <carobjunction/process/enumnames.h>
+#include <carobjunction/request/reason.h>
 
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <iosfwd>
 #include <memory>
 #include <string>
 
@@ -78,7 +80,26 @@
     };
 };
 
-/** Counters and quantiles of a daemon. Thread-safe. */
+/** Present values of a daemon. */
+enum class Gauge {
+    ConfigVersion,
+    KnownVms,
+    StoreReachable, /**< 1 or 0. */
+    SlotLimit,
+    Count, /**< Number of gauges. */
+};
+
+template<>
+struct EnumNames<Gauge> {
+    static constexpr std::pair<Gauge, std::string_view> Table[] = {
+        { Gauge::ConfigVersion, "carobjunction_config_version" },
+        { Gauge::KnownVms, "carobjunction_known_vms" },
+        { Gauge::StoreReachable, "carobjunction_store_reachable" },
+        { Gauge::SlotLimit, "carobjunction_slot_limit" },
+    };
+};
+
+/** Counters, present values and latency histograms of a daemon. Thread-safe. */
 class Metrics
 {
 public:
@@ -88,6 +109,10 @@
     void add(Counter counter, uint64_t amount = 1);
     uint64_t value(Counter counter) const;
     void observe(Quantile quantile, Duration duration);
+    void set(Gauge gauge, uint64_t value);
+
+    /** Counts a request that was refused, by reason. */
+    void addRefusal(Reason reason);
 
     /** @return all values in the Prometheus text format */
     std::string toPrometheus() const;
@@ -95,7 +120,11 @@
 private:
     struct Distribution;
 
+    static void writeDistribution(std::ostream &text, const std::string &name, const Distribution &distribution);
+
     std::array<std::atomic<uint64_t>, static_cast<size_t>(Counter::Count)> m_counters {};
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(Gauge::Count)> m_gauges {};
+    std::array<std::atomic<uint64_t>, std::size(EnumNames<Reason>::Table)> m_refusals {}; /**< By value of Reason. */
     std::array<std::unique_ptr<Distribution>, static_cast<size_t>(Quantile::Count)> m_distributions;
 };
 
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -419,7 +419,7 @@
 
 HttpResponse RequestRouter::refuse(const Call &call, Reason reason, Duration retryAfter)
 {
-    m_metrics.add(Counter::Refusals);
+    m_metrics.addRefusal(reason);
     EventLog::write(LogLevel::Info,
                     Event::RequestRejected,
                     { { "request", call.request.requestId },
--- /dev/null
+++ b/tests/process/explaintest.cpp
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+using Json = nlohmann::json;
+
+struct ExplainFixture {
+    ExplainFixture() : directory(std::string(CAROBJUNCTION_BINARY_DIR) + "/explain-test-" + std::to_string(::getpid()))
+    {
+        std::filesystem::create_directories(directory);
+    }
+
+    ~ExplainFixture()
+    {
+        std::filesystem::remove_all(directory);
+    }
+
+    void write(const std::string &name, const std::string &lines)
+    {
+        std::ofstream(directory + "/" + name) << lines;
+        files += " " + directory + "/" + name;
+    }
+
+    /** @return exit code of `explain ID --logs FILES`; the output is in #output */
+    int explain(const std::string &id, const std::string &more = "")
+    {
+        FILE *pipe = popen((std::string(CAROBJUNCTION_BINARY_DIR) + "/cli/carobjunction explain " + id + " --logs" + files + more + " 2>&1").c_str(), "r");
+        REQUIRE(pipe != nullptr);
+        output.clear();
+        std::array<char, 4096> buffer {};
+        while (const size_t count = std::fread(buffer.data(), 1, buffer.size(), pipe)) {
+            output.append(buffer.data(), count);
+        }
+        const int status = pclose(pipe);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+    std::string directory;
+    std::string files;
+    std::string output;
+};
+
+namespace
+{
+
+constexpr const char *EntryLog = "2026-12-04T10:00:00.100Z INFO  event=1001 name=daemon-started daemon=entry\n"
+                                 "2026-12-04T10:00:01.050Z INFO  event=2004 name=retry-decided request=r1 daemon=owner backend=i-1 outcome=unknown "
+                                 "reason=answer-lost detail=\"End of file\"\n"
+                                 "2026-12-04T10:00:01.051Z INFO  event=2003 name=call-answered request=r1 status=502 reason=answer-lost ms=60\n"
+                                 "2026-12-04T10:00:01.052Z INFO  event=2003 name=call-answered request=r2 status=200 reason=none ms=9\n";
+
+} // namespace
+
+TEST_CASE_METHOD(ExplainFixture, "Explain.logsOfTwoDaemons.areJoinedByTime")
+{
+    // Guards against a cause that stands in the log of another daemon than the one that answered.
+    write("a.log", EntryLog);
+    write("b.log",
+          "2026-12-04T10:00:00.200Z INFO  event=1001 name=daemon-started daemon=owner\n"
+          "not an event\n"
+          "2026-12-04T10:00:01.049Z WARN  event=3009 name=suspect-recorded fingerprint=7 backend=i-1\n"
+          "2026-12-04T10:00:01.048Z INFO  event=3007 name=target-down backend=i-1 state=gone\n");
+    REQUIRE(explain("r1", " --output json") == 0);
+    const Json story = Json::parse(output);
+    std::vector<std::string> names;
+    for (const Json &step : story["steps"]) {
+        names.push_back(step["name"]);
+    }
+    CHECK(names == std::vector<std::string> { "daemon-started", "target-down", "suspect-recorded", "retry-decided", "call-answered" });
+    CHECK(story["steps"][1]["ms"] == -2);
+    CHECK(story["steps"][1]["daemon"] == "owner");
+    CHECK(story["steps"][1]["context"] == true);
+    CHECK(story["steps"][3]["fields"]["detail"] == "End of file");
+}
+
+TEST_CASE_METHOD(ExplainFixture, "Explain.clockThatIsAhead.isSetBack")
+{
+    // Guards against a story in which the refusal comes after the answer that it caused.
+    write("a.log",
+          "2026-12-04T10:00:01.050Z INFO  event=2004 name=retry-decided request=r1 daemon=b backend=i-1 outcome=not-run reason=full\n"
+          "2026-12-04T10:00:01.060Z INFO  event=2003 name=call-answered request=r1 status=503 reason=full\n");
+    write("b.log", "2026-12-04T10:00:03.050Z INFO  event=2002 name=admission-decided request=r1 backend=i-1 outcome=not-run reason=full\n");
+    REQUIRE(explain("r1") == 0);
+    CHECK(output.find("clock of b is ahead by 2000 ms") != std::string::npos);
+    CHECK(output.find("admission-decided") < output.find("call-answered"));
+}
+
+TEST_CASE_METHOD(ExplainFixture, "Explain.unknownRequestOrFile.isToldApart")
+{
+    write("a.log", EntryLog);
+    CHECK(explain("r9") == 1);
+    CHECK(output.find("no log has a line of request r9") != std::string::npos);
+    files += " " + directory + "/missing.log";
+    CHECK(explain("r1") == 2);
+    CHECK(output.find("cannot be read") != std::string::npos);
+}
