--- a/bench/childprocess.cpp
+++ b/bench/childprocess.cpp
@@ -32,6 +32,16 @@
 } // namespace
 
 std::unique_ptr<ChildProcess> ChildProcess::start(const std::vector<std::string> &arguments, const std::string &errorFile)
+{
+    return start(arguments, errorFile, Output::Pipe);
+}
+
+std::unique_ptr<ChildProcess> ChildProcess::startLogged(const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    return start(arguments, logFile, Output::ErrorFile);
+}
+
+std::unique_ptr<ChildProcess> ChildProcess::start(const std::vector<std::string> &arguments, const std::string &errorFile, Output output)
 {
     std::vector<std::string> copies = arguments;
     std::vector<char *> pointers;
@@ -48,7 +58,7 @@
     const pid_t parent = ::getpid();
     const pid_t pid = errors < 0 ? -1 : ::fork();
     if (pid == 0) {
-        runProgram(pointers, pipeEnds[1], errors, parent);
+        runProgram(pointers, output == Output::Pipe ? pipeEnds[1] : errors, errors, parent);
     }
     ::close(pipeEnds[1]);
     if (errors >= 0) {
--- a/bench/childprocess.h
+++ b/bench/childprocess.h
@@ -23,6 +23,9 @@
      */
     static std::unique_ptr<ChildProcess> start(const std::vector<std::string> &arguments, const std::string &errorFile);
 
+    /** The same, with standard output and standard error in @p logFile; waitForAddress() finds nothing. */
+    static std::unique_ptr<ChildProcess> startLogged(const std::vector<std::string> &arguments, const std::string &logFile);
+
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
@@ -57,7 +60,10 @@
     }
 
 private:
+    enum class Output { Pipe, ErrorFile };
+
     ChildProcess(pid_t pid, int output);
+    static std::unique_ptr<ChildProcess> start(const std::vector<std::string> &arguments, const std::string &errorFile, Output output);
 
     pid_t m_pid;
     int m_output;
--- a/include/carobjunction/process/backendgate.h
+++ b/include/carobjunction/process/backendgate.h
@@ -58,6 +58,12 @@
      */
     bool onLeave(const std::string &id, TimePoint now, uint64_t unixMs);
 
+    /**
+     * Takes what the daemon knew of its backend server before it was restarted.
+     * @return whether the record changed
+     */
+    bool recall(const BackendRecord &former, TimePoint now);
+
     /** Another process answered at the address, or none did. Closes the gate until the next heartbeat. @return whether the record changed */
     bool onLost();
 
@@ -84,7 +90,7 @@
     /** A process that said that it ends. */
     struct Departure {
         TimePoint notedAt;
-        uint64_t unixMs = 0;
+        uint64_t unixMs = 0; /**< Processes that were born later are others. */
     };
 
     bool isFormerProcess(const Heartbeat &beat) const;
--- a/include/carobjunction/process/vmrecord.h
+++ b/include/carobjunction/process/vmrecord.h
@@ -33,6 +33,7 @@
     std::string service;
     uint32_t slots = 0; /**< Requests that it runs at once. */
     BackendState state = BackendState::Unknown;
+    bool isLeaving = false; /**< It announced that it ends, which binds also after a restart of the daemon. */
 
     bool operator==(const BackendRecord &) const = default;
 };
--- a/src/process/backendgate.cpp
+++ b/src/process/backendgate.cpp
@@ -1,5 +1,7 @@
 #include <carobjunction/process/backendgate.h>
 
+#include <utility>
+
 namespace carobjunction
 {
 
@@ -39,7 +41,7 @@
     m_coldUntil = now + beat.coldRemaining;
     const BackendState state
         = !m_leaving ? BackendState::Ready : (m_record.state == BackendState::Gone && sameProcess ? BackendState::Gone : BackendState::Draining);
-    const BackendRecord record { beat.id, beat.bornMs, beat.service, beat.slots, state };
+    const BackendRecord record { beat.id, beat.bornMs, beat.service, beat.slots, state, m_leaving };
     if (record == m_record) {
         return HeartbeatEffect::Refreshed;
     }
@@ -56,9 +58,25 @@
     m_leaving = true;
     const bool changed = m_record.state != BackendState::Gone;
     m_record.state = BackendState::Gone;
+    m_record.isLeaving = true;
     return changed;
 }
 
+bool BackendGate::recall(const BackendRecord &former, TimePoint now)
+{
+    if (!former.isLeaving) {
+        return false;
+    }
+    const bool isSame = m_record.id == former.id && m_record.bornMs == former.bornMs;
+    if (!m_record.id.empty() && !isSame) {
+        noteDeparture(former.id, now, former.bornMs);
+        return false;
+    }
+    m_record = former;
+    m_record.state = BackendState::Gone;
+    return !std::exchange(m_leaving, true);
+}
+
 bool BackendGate::onLost()
 {
     if (m_record.state != BackendState::Ready) {
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -54,6 +54,7 @@
     static constexpr size_t RecordFanout = 64;
     /** Longest wait of one watch of the store. Silent connections are noticed by keep-alive probes before. */
     static constexpr Duration WatchTime = std::chrono::seconds(20);
+    static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
     /** Shortest time between two load reports to the daemons of the region. */
@@ -83,16 +84,20 @@
         m_record.daemon = settings.daemon;
         m_record.incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
         m_record.revision = 1;
-        m_record.address = settings.peerAddress;
+        m_record.address = settings.announcedAddress.empty() ? settings.peerAddress : settings.announcedAddress;
         m_record.dataCentre = settings.dataCentre;
         m_record.region = settings.region;
         m_directory.merge(m_record);
     }
 
-    /** @param report  gives the load of this VM's target */
-    void start(std::function<TargetReport()> report)
+    /**
+     * @param report  gives the load of this VM's target
+     * @param recall  takes the backend server's record from before this start; null if there is none
+     */
+    void start(std::function<TargetReport()> report, std::function<void(const BackendRecord *)> recall)
     {
         m_report = std::move(report);
+        m_recall = std::move(recall);
         const Tcp::endpoint address = toEndpoint(m_settings.peerAddress).value();
         ErrorCode error;
         m_datagrams = DatagramPort::open(
@@ -130,6 +135,15 @@
         onRecordChanged();
     }
 
+    /** Waits until the store has the record of this VM, for @p limit at most. */
+    Task<void> waitUntilStored(Duration limit)
+    {
+        const TimePoint end = SteadyClock().now() + limit;
+        while ((m_isRecordDue || m_isWriting) && SteadyClock().now() < end) {
+            co_await pause(StoredCheckInterval);
+        }
+    }
+
     /** Sends a report to all daemons at once. */
     void reportNow()
     {
@@ -172,6 +186,7 @@
     {
         m_metrics.add(Counter::StoreFailures);
         const std::string reason(nameOf(LastReason<TableStoreError>::get()));
+        m_metrics.set(Gauge::StoreReachable, 0);
         if (std::exchange(m_isStoreReachable, false)) {
             EventLog::write(LogLevel::Warning, Event::StoreUnavailable, { { "table", table }, { "reason", reason } });
         }
@@ -179,6 +194,7 @@
 
     void onStoreAnswer()
     {
+        m_metrics.set(Gauge::StoreReachable, 1);
         if (!std::exchange(m_isStoreReachable, true)) {
             EventLog::write(LogLevel::Info, Event::StoreRecovered, {});
         }
@@ -256,6 +272,9 @@
             present.insert(row.key);
             takeVmRow(row);
         }
+        if (present.count(m_record.daemon) == 0) {
+            m_recall(nullptr);
+        }
         const TimePoint now = SteadyClock().now();
         std::vector<VmRecord> missing;
         for (const auto &[daemon, vm] : m_directory.all()) {
@@ -287,15 +306,19 @@
         }
         if (m_directory.isSelf(row.key)) {
             m_rowVersion = row.version;
-            outliveFormerIncarnation(*record);
+            takeFormer(*record);
             return;
         }
         takeVm(*record, "store");
     }
 
-    /** The clock may have gone back since the former start of this daemon. */
-    void outliveFormerIncarnation(const VmRecord &stored)
+    /** Takes the record that a former start of this daemon left behind. The clock may have gone back since then. */
+    void takeFormer(const VmRecord &stored)
     {
+        if (stored.incarnation == m_record.incarnation) {
+            return; // of this start
+        }
+        m_recall(&stored.backend);
         if (stored.incarnation > m_record.incarnation) {
             m_record.incarnation = stored.incarnation + 1;
             onRecordChanged();
@@ -330,6 +353,7 @@
         }
         m_routes = decoded.table;
         m_routesText = text;
+        m_metrics.set(Gauge::ConfigVersion, m_routes->version());
         EventLog::write(LogLevel::Info,
                         Event::ConfigInForce,
                         { { "version", std::to_string(m_routes->version()) }, { "routes", std::to_string(m_routes->routes().size()) }, { "source", source } });
@@ -357,7 +381,9 @@
                 continue;
             }
             m_isRecordDue = false;
+            m_isWriting = true;
             const auto result = co_await m_store.commit(recordChange());
+            m_isWriting = false;
             if (result && result->isApplied) {
                 onStoreAnswer();
                 m_rowVersion = std::max(m_rowVersion, result->version);
@@ -390,7 +416,7 @@
         for (const TableRow &row : result.current) {
             m_rowVersion = row.version;
             if (const auto stored = VmRecordCodec::decode(row.value)) {
-                outliveFormerIncarnation(*stored);
+                takeFormer(*stored);
             }
         }
     }
@@ -515,7 +541,9 @@
             const nlohmann::json state = nlohmann::json::parse(text);
             for (const nlohmann::json &item : state.at("vms")) {
                 const auto record = VmRecordCodec::decode(item.get<std::string>());
-                if (record && !m_directory.isSelf(record->daemon)) {
+                if (record && m_directory.isSelf(record->daemon)) {
+                    takeFormer(*record);
+                } else if (record) {
                     takeVm(*record, "peer");
                 }
             }
@@ -537,9 +565,11 @@
     PeerClients m_peers;
     std::shared_ptr<DatagramPort> m_datagrams;
     std::function<TargetReport()> m_report;
+    std::function<void(const BackendRecord *)> m_recall;
     VmRecord m_record;
     uint64_t m_rowVersion = 0;
     bool m_isRecordDue = true;
+    bool m_isWriting = false;
     bool m_isRecordStored = false;
     int m_recordSendsLeft = RecordSends;
     bool m_isReportDue = false;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto RecallTime = std::chrono::milliseconds(1500); // after the start; the store or a peer answers sooner unless both are out of reach
 constexpr auto SuspensionLimit = std::chrono::milliseconds(250); // after a longer suspension, the entry may have given up
 constexpr auto CloseMargin = std::chrono::milliseconds(20); // time for the backend server's own answer at its deadline
 
@@ -54,6 +55,7 @@
     , m_work(work)
     , m_hooks(std::move(hooks))
     , m_gate(silenceLimit)
+    , m_recallLimit(SteadyClock().now() + RecallTime)
     , m_probe(loop, m_backend, HostSlowness::Freshness, [this](const HttpResponse &response) { return readLoad(response); })
 {
 }
@@ -93,6 +95,14 @@
     }
 }
 
+void TargetService::recall(const BackendRecord *former)
+{
+    m_hasRecalled = true;
+    if (former != nullptr && m_gate.recall(*former, SteadyClock().now())) {
+        onRecordChanged();
+    }
+}
+
 void TargetService::onRecordChanged()
 {
     const BackendRecord &record = m_gate.record();
@@ -135,7 +145,7 @@
     if (m_isStopping || record.state == BackendState::Draining) {
         return Reason::Leaving;
     }
-    if (!m_gate.isOpen()) {
+    if (!m_gate.isOpen() || (!m_hasRecalled && SteadyClock().now() < m_recallLimit)) {
         return Reason::TargetDown;
     }
     if (record.service != request.service) {
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -50,6 +50,13 @@
     HeartbeatEffect onHeartbeat(const Heartbeat &beat);
     void onLeave(const std::string &id);
 
+    /**
+     * Takes what the store or a peer holds of the backend server from before a restart of this daemon. Until then, or until waiting for
+     * it is in vain, no work is admitted: a late heartbeat of a process that has left looks like one of a sound process.
+     * @param former  null if nothing is held
+     */
+    void recall(const BackendRecord *former);
+
     /** The daemon is about to end: work in progress goes on, new work is refused. */
     void stopAdmission();
 
@@ -102,6 +109,8 @@
     SlotTuner m_tuner;
     std::map<uint64_t, uint64_t> m_inFlight; /**< Fingerprints of the requests at the backend server, by run. */
     uint64_t m_lastRun = 0;
+    bool m_hasRecalled = false;
+    TimePoint m_recallLimit; /**< Time at which work is admitted although nothing was recalled. */
     HostSlowness m_host;
     BackendProbe m_probe;
     bool m_isWatchingSpell = false;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -54,6 +54,10 @@
     static constexpr double AbortShare = 0.86;
     /** Part of the grace period after which the process ends in any case. */
     static constexpr double GraceShare = 0.93;
+    /** Time from the close of the ports to the end of the process, in which requests that came with the close are answered. */
+    static constexpr Duration CloseTime = std::chrono::milliseconds(100);
+    /** Time for which the acknowledgement of a leave waits until the store has it, so that it binds the next start of this daemon. */
+    static constexpr Duration LeaveStoreTime = std::chrono::milliseconds(400);
     /** Time after a stop for which callers that have not noticed it are served. Later requests might not finish in time. */
     static constexpr Duration StopLinger = std::chrono::milliseconds(2500);
 
@@ -98,7 +102,7 @@
         if (!isOpen) {
             return false;
         }
-        m_sync.start([this] { return m_target.report(); });
+        m_sync.start([this] { return m_target.report(); }, [this](const BackendRecord *former) { m_target.recall(former); });
         scheduleTick();
         EventLog::write(LogLevel::Info, Event::DaemonStarted, { { "daemon", m_settings.daemon }, { "peerAddress", m_settings.peerAddress } });
         return true;
@@ -217,7 +221,11 @@
         HttpResponse response(http::status::ok, 11);
         response.set(http::field::content_type, "application/json");
         response.body() = "{}";
+        const bool wasLeaving = m_target.record().isLeaving;
         std::visit([&](const auto &known) { onControlCall(known, response); }, *call);
+        if (!wasLeaving && m_target.record().isLeaving) {
+            co_await m_sync.waitUntilStored(LeaveStoreTime);
+        }
         response.prepare_payload();
         co_return response;
     }
@@ -305,6 +313,8 @@
         m_target.checkTimes();
         if (++m_ticks % LearnTicks == 0) {
             m_ledger.setDaemons(m_directory.all().size());
+            m_metrics.set(Gauge::KnownVms, m_directory.all().size());
+            m_metrics.set(Gauge::SlotLimit, m_target.report().limit);
             m_target.learnSlots(m_directory.slotEvidence(m_target.record().service));
         }
         if (m_stoppedAt) {
@@ -316,7 +326,13 @@
     {
         const Duration since = SteadyClock().now() - *m_stoppedAt;
         const auto grace = std::chrono::duration<double>(m_settings.gracePeriod);
-        const bool isDrained = activeRequests() == 0 && since >= StopLinger;
+        if (!m_closedAt && activeRequests() == 0 && since >= StopLinger) {
+            // Callers that come later are refused a connection, which proves to them that nothing ran.
+            m_callerPort->close();
+            m_peerPort->close();
+            m_closedAt = SteadyClock().now();
+        }
+        const bool isDrained = m_closedAt && activeRequests() == 0 && SteadyClock().now() - *m_closedAt >= CloseTime;
         if (since >= grace * AbortShare) {
             m_callerPort->abortRequests();
             m_peerPort->abortRequests();
@@ -344,6 +360,7 @@
     std::shared_ptr<HttpListener> m_readyPort;
     std::shared_ptr<HttpListener> m_operatorPort;
     std::optional<TimePoint> m_stoppedAt;
+    std::optional<TimePoint> m_closedAt; /**< When the ports were closed before the end. */
     bool m_wasReady = false;
 };
 
--- a/src/process/vmrecordcodec.cpp
+++ b/src/process/vmrecordcodec.cpp
@@ -22,7 +22,8 @@
                           { "bornMs", backend.bornMs },
                           { "service", backend.service },
                           { "slots", backend.slots },
-                          { "state", nameOf(backend.state) } } } };
+                          { "state", nameOf(backend.state) },
+                          { "leaving", backend.isLeaving } } } };
     return json.dump(-1, ' ', true, Json::error_handler_t::replace);
 }
 
@@ -48,6 +49,7 @@
             return std::nullopt;
         }
         record.backend.state = *state;
+        record.backend.isLeaving = backend.value("leaving", false);
     } catch (const Json::exception &) {
         return std::nullopt; // the reader of the row logs it
     }
--- a/src/process/vmsettings.cpp
+++ b/src/process/vmsettings.cpp
@@ -47,6 +47,7 @@
         addressKey("backend-address", &VmSettings::backendAddress),
         addressKey("caller-address", &VmSettings::callerAddress),
         addressKey("peer-address", &VmSettings::peerAddress),
+        textKey("announced-address", &VmSettings::announcedAddress, std::string(AddressRange), &isAddress),
         addressKey("ready-address", &VmSettings::readyAddress),
         addressKey("operator-address", &VmSettings::operatorAddress),
         addressKey("store-address", &VmSettings::storeAddress),
--- a/src/process/vmsettings.h
+++ b/src/process/vmsettings.h
@@ -23,6 +23,7 @@
     std::string backendAddress;
     std::string callerAddress; /**< Port for requests of callers on this VM. */
     std::string peerAddress; /**< Port for other daemons, TCP and UDP. */
+    std::string announcedAddress; /**< Where other daemons reach the peer port; empty if at peerAddress itself. */
     std::string readyAddress; /**< Port for readiness checks. */
     std::string operatorAddress; /**< Port for heartbeats of the backend server and for metrics. */
     std::string storeAddress;
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -258,6 +258,23 @@
     CHECK(servesLookups());
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.restartAfterALeave.keepsItsPromise")
+{
+    // Guards against a late heartbeat that makes a restarted daemon forget a leave which its former start acknowledged.
+    REQUIRE(servesLookups());
+    REQUIRE(send(vms[1].control, HttpRequest(http::verb::delete_, "/v1/instances/i-vm-2", 11)).result_int() == 200);
+    vms[1].daemon->kill();
+    start(vms[1]);
+    REQUIRE(waitFor([&] { return get(vms[1].ready, "/v1/readyz") == 200; }));
+    REQUIRE(beat(vms[1]) == 200);
+    const size_t before = vms[1].backend->ran.size();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(call(http::verb::get, "/look/1").result_int() == 503);
+        runFor(20ms);
+    }
+    CHECK(vms[1].backend->ran.size() == before);
+}
+
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.anotherServerAtTheAddress.provesThatNothingRan")
 {
     REQUIRE(servesLookups());
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -1,5 +1,7 @@
 #include "platform/platformstandins.h"
 
+#include <carobjunction/process/durations.h>
+
 #include "connection/messagefields.h"
 
 #include <regex>
@@ -14,11 +16,11 @@
 
 constexpr auto FeedPoll = std::chrono::milliseconds(10);
 
-std::shared_ptr<HttpListener> listen(asio::io_context &loop, RequestHandler handler)
+std::shared_ptr<HttpListener> listen(asio::io_context &loop, RequestHandler handler, uint16_t port = 0)
 {
     ErrorCode error;
     auto listener = HttpListener::open(
-        loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), std::move(handler), [] { return ListenerLimits {}; }, error);
+        loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), std::move(handler), [] { return ListenerLimits {}; }, error);
     if (!listener) {
         throw std::runtime_error(error.message());
     }
@@ -64,6 +66,10 @@
 Task<MaybeResponse> StandInTableStore::handle(HttpRequest request)
 {
     const std::string target(request.target().data(), request.target().size());
+    if (delay > Duration::zero()) {
+        asio::steady_timer timer(m_loop, delay);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     if (isDown) {
         co_return ownAnswer(http::status::service_unavailable, "down");
     }
@@ -147,12 +153,33 @@
     : id(std::move(backendId))
     , m_loop(loop)
     , m_listener(listen(loop, [this](HttpRequest request, CancellationPtr cancellation) { return handle(std::move(request), std::move(cancellation)); }))
+    , m_address(m_listener->address())
 {
 }
 
 std::string StandInBackend::address() const
 {
-    return addressOf(*m_listener);
+    return "127.0.0.1:" + std::to_string(m_address.port());
+}
+
+bool StandInBackend::restart(std::string newId)
+{
+    try {
+        m_listener = listen(
+            m_loop,
+            [this](HttpRequest request, CancellationPtr cancellation) { return handle(std::move(request), std::move(cancellation)); },
+            m_address.port());
+    } catch (const std::runtime_error &) {
+        return false;
+    }
+    id = std::move(newId);
+    hangs = false;
+    return true;
+}
+
+std::string StandInBackend::loadField() const
+{
+    return std::to_string(m_running) + ",0,9," + std::to_string(static_cast<int>(slowness * 100));
 }
 
 void StandInBackend::crash()
@@ -163,6 +190,12 @@
 
 Task<MaybeResponse> StandInBackend::handle(HttpRequest request, CancellationPtr cancellation)
 {
+    if (request.target() == "/healthz") {
+        HttpResponse response = ownAnswer(http::status::ok, "healthy");
+        response.set("X-Instance-Id", id);
+        response.set("X-Server-Load", loadField());
+        co_return response;
+    }
     if (fieldText(request, "X-Expected-Instance") != id) {
         co_return ownAnswer(http::status::misdirected_request, "another backend server");
     }
@@ -172,20 +205,26 @@
         co_return response;
     }
     ran.push_back(request);
+    if (onRun) {
+        onRun(request);
+    }
+    const std::string runningId = id;
     if (!crashingPath.empty() && request.target() == beast::string_view(crashingPath)) {
         asio::post(m_loop, [this] { crash(); });
         hangs = true;
     }
-    asio::steady_timer timer(m_loop, hangs ? std::chrono::hours(1) : work);
+    ++m_running;
+    asio::steady_timer timer(m_loop, hangs ? std::chrono::hours(1) : scaled(work, slowness));
     const Cancellation::Registration registration(*cancellation, [&] { timer.cancel(); });
     ErrorCode ignored; // the wait ends early when the client leaves
     co_await timer.async_wait(into(ignored));
+    --m_running;
     cancelled += cancellation->isRequested() ? 1 : 0;
     HttpResponse response(http::status::ok, 11);
     response.set("X-Attempt-Id", fieldText(request, "X-Attempt-Id"));
-    response.set("X-Response-Seal", "seal-of-" + id);
-    response.set("X-Server-Load", "1,0,9,100");
-    response.body() = "answer of " + id;
+    response.set("X-Response-Seal", "seal-of-" + runningId);
+    response.set("X-Server-Load", loadField());
+    response.body() = "answer of " + runningId;
     co_return response;
 }
 
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -30,6 +30,7 @@
     }
 
     bool isDown = false; /**< All calls are answered 503. */
+    Duration delay = Duration::zero(); /**< Time that each call takes. */
     bool losesWrites = false; /**< Writes are made, and the connection ends without an answer. */
 
 private:
@@ -64,7 +65,13 @@
     /** Ends as a crash does: the port and all connections close. */
     void crash();
 
+    /** Starts a new process at the same address. @return whether the port could be opened */
+    bool restart(std::string newId);
+
     std::string id;
+    /** Told of each request that begins to run. */
+    std::function<void(const HttpRequest &)> onRun;
+    double slowness = 1; /**< Factor of the work that starts now; told by the health path. */
     Duration work = std::chrono::milliseconds(5);
     bool hangs = false; /**< Never answers. */
     bool sheds = false; /**< Rejects all requests and says so. */
@@ -74,9 +81,12 @@
 
 private:
     Task<MaybeResponse> handle(HttpRequest request, CancellationPtr cancellation);
+    std::string loadField() const;
 
     asio::io_context &m_loop;
     std::shared_ptr<HttpListener> m_listener;
+    Tcp::endpoint m_address;
+    int m_running = 0;
 };
 
 } // namespace carobjunction::platform
--- a/tests/process/backendgatetest.cpp
+++ b/tests/process/backendgatetest.cpp
@@ -78,6 +78,37 @@
     CHECK(gate.isOpen());
 }
 
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.recalledLeave.keepsALateHeartbeatFromOpening")
+{
+    // Guards against work for a process whose leave the daemon acknowledged before it was restarted.
+    CHECK(gate.recall({ "a", 5, "ordering", 9, BackendState::Gone, true }, clock.now()));
+    gate.onHeartbeat(beat("a", 5, 7), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    CHECK(gate.record().isLeaving);
+    gate.onHeartbeat(beat("b", 6, 1), clock.now());
+    CHECK(gate.isOpen());
+    CHECK_FALSE(gate.record().isLeaving);
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveRecalledAfterALateHeartbeat.closes")
+{
+    // Guards against a store that answers later than the heartbeat arrives.
+    gate.onHeartbeat(beat("a", 5, 7), clock.now());
+    CHECK(gate.isOpen());
+    CHECK(gate.recall({ "a", 5, "ordering", 9, BackendState::Draining, true }, clock.now()));
+    CHECK_FALSE(gate.isOpen());
+    gate.onHeartbeat(beat("a", 5, 8), clock.now());
+    CHECK_FALSE(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.recalledSilence.doesNotClose")
+{
+    // Guards against a sound backend server that is kept out because its former daemon had not heard from it for a while.
+    CHECK_FALSE(gate.recall({ "a", 5, "ordering", 9, BackendState::Gone, false }, clock.now()));
+    gate.onHeartbeat(beat("a", 5, 7), clock.now());
+    CHECK(gate.isOpen());
+}
+
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.longPastLeaveOfAnUnknownProcess.isForgotten")
 {
     // Guards against a gate that a jump of the time of day closes for good.
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -31,6 +31,7 @@
         beat.slots = 9;
         beat.sequence = 1;
         target->onHeartbeat(beat);
+        target->recall(nullptr);
     }
 
     ForwardRequest request() const
