Call the store less often

Each daemon wrote its record at its start and again at the first heartbeat, read the VM table every 400 ms until then, and every 20 s afterwards. Change: the first write waits for the first heartbeat, for 3 s at most; the table is read at the start, 2 s later and then each 60 s, since datagrams and peers bring what changes; the watch of the routes waits 28 s. Conclusion: one watch for all daemons is what is left; a change of the configuration costs a call a daemon.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -41,9 +41,12 @@
 public:
     /** Table of the VM records. */
     static constexpr const char *VmTable = "carobjunction-vms";
-    /** Time between two reads of the VM table, varied by a quarter so that daemons don't read in step. */
-    static constexpr Duration RefreshInterval = std::chrono::seconds(20);
-    /** Time after the own record is stored until the VM table is read again: daemons that start together write about then. */
+    /**
+     * Time between two reads of the VM table, varied by a quarter so that daemons don't read in step. Long, since datagrams and peers bring
+     * what changes, and each call to the store is billed.
+     */
+    static constexpr Duration RefreshInterval = std::chrono::seconds(60);
+    /** Time after the start until the VM table is read again, if the own record is stored: daemons that start together write before. */
     static constexpr Duration SecondRead = std::chrono::seconds(2);
     /** Silence after which a VM without a row is forgotten. */
     static constexpr Duration ForgetSilence = std::chrono::seconds(10);
@@ -53,7 +56,9 @@
     /** Receivers of a changed record. Others learn of it from the version numbers of later reports. */
     static constexpr size_t RecordFanout = 64;
     /** Longest wait of one watch of the store. Silent connections are noticed by keep-alive probes before. */
-    static constexpr Duration WatchTime = std::chrono::seconds(20);
+    static constexpr Duration WatchTime = std::chrono::seconds(28);
+    /** Time for which the first write of the record waits for the backend server's first heartbeat, which changes the record. */
+    static constexpr Duration FirstWriteDelay = std::chrono::seconds(3);
     static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
@@ -239,9 +244,8 @@
     Task<void> refreshVms()
     {
         Duration nextBackoff = FirstBackoff;
-        int readsSinceStored = 0;
+        int reads = 0;
         while (true) {
-            const bool wasStored = m_isRecordStored;
             const auto rows = co_await m_store.scan(VmTable);
             if (!rows) {
                 onStoreFailure(VmTable);
@@ -251,15 +255,24 @@
             onStoreAnswer();
             nextBackoff = FirstBackoff;
             takeVmRows(*rows);
-            readsSinceStored += wasStored ? 1 : 0;
-            if (readsSinceStored < 2) {
-                co_await pause(wasStored ? SecondRead : RecordSendInterval);
-            } else {
+            if (++reads > 1) {
                 co_await pause(varied(RefreshInterval));
+                continue;
             }
+            announceRecord();
+            do {
+                co_await pause(SecondRead);
+            } while (!m_isRecordStored);
         }
     }
 
+    /** Sends the record to the daemons known, without a change of it. */
+    void announceRecord()
+    {
+        m_recordSendsLeft = RecordSends;
+        reportNow();
+    }
+
     Duration varied(Duration time)
     {
         return scaled(time, std::uniform_real_distribution<double>(0.75, 1.25)(m_random));
@@ -364,15 +377,18 @@
         ++m_record.revision;
         m_directory.merge(m_record);
         m_isRecordDue = true;
-        m_recordSendsLeft = RecordSends;
         m_writeTimer.cancel();
-        reportNow();
+        announceRecord();
     }
 
     /** Writes the record of this VM whenever it changes, until the store has it. */
     Task<void> writeRecord()
     {
         Duration nextBackoff = FirstBackoff;
+        m_writeTimer.expires_after(FirstWriteDelay);
+        ErrorCode ignoredAtStart; // the timer is cancelled when the record changes
+        co_await m_writeTimer.async_wait(into(ignoredAtStart));
+        m_isRecordDue = true;
         while (true) {
             if (!m_isRecordDue) {
                 m_writeTimer.expires_at(TimePoint::max());
@@ -568,7 +584,7 @@
     std::function<void(const BackendRecord *)> m_recall;
     VmRecord m_record;
     uint64_t m_rowVersion = 0;
-    bool m_isRecordDue = true;
+    bool m_isRecordDue = false;
     bool m_isWriting = false;
     bool m_isRecordStored = false;
     int m_recordSendsLeft = RecordSends;
