Move the sending of reports out of ClusterSync

Change: ReportSender owns when reports and records are sent and to whom; ClusterSync gives it the message. Behaviour is unchanged. Conclusion: decisions on what is sent can be tested without a store.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -11,6 +11,7 @@
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
 #include "process/metrics.h"
+#include "process/reportsender.h"
 #include "process/tablestore.h"
 #include "process/vmrecordcodec.h"
 #include "process/vmsettings.h"
@@ -50,11 +51,6 @@
     static constexpr Duration SecondRead = std::chrono::seconds(2);
     /** Silence after which a VM without a row is forgotten. */
     static constexpr Duration ForgetSilence = std::chrono::seconds(10);
-    /** Datagrams with a changed record to each daemon, as one may be lost, and the time between them. */
-    static constexpr int RecordSends = 2;
-    static constexpr Duration RecordSendInterval = std::chrono::milliseconds(400);
-    /** Receivers of a changed record. Others learn of it from the version numbers of later reports. */
-    static constexpr size_t RecordFanout = 64;
     /** Longest wait of one watch of the store. Silent connections are noticed by keep-alive probes before. */
     static constexpr Duration WatchTime = std::chrono::seconds(28);
     /** Time for which the first write of the record waits for the backend server's first heartbeat, which changes the record. */
@@ -62,12 +58,6 @@
     static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
-    /** Shortest time between two load reports to the daemons of the region. */
-    static constexpr Duration NearReportInterval = std::chrono::milliseconds(100);
-    /** Time between reports to all daemons. */
-    static constexpr Duration FarReportInterval = std::chrono::seconds(2);
-    /** Receivers of one report, chosen at random when there are more daemons. */
-    static constexpr size_t ReportFanout = 16;
     /** Time for which the store is given to bring a change before a peer is asked for it. */
     static constexpr Duration StoreHeadStart = std::chrono::milliseconds(500);
     /** Age up to which crashes are reported again, as datagrams may be lost. */
@@ -82,7 +72,7 @@
         , m_metrics(metrics)
         , m_store(loop, toEndpoint(settings.storeAddress).value())
         , m_peers(loop)
-        , m_reportTimer(loop)
+        , m_reports(loop, directory, metrics)
         , m_writeTimer(loop)
     {
         const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -101,7 +91,6 @@
      */
     void start(std::function<TargetReport()> report, std::function<void(const BackendRecord *)> recall)
     {
-        m_report = std::move(report);
         m_recall = std::move(recall);
         const Tcp::endpoint address = toEndpoint(m_settings.peerAddress).value();
         ErrorCode error;
@@ -113,7 +102,12 @@
         spawn(followRoutes());
         spawn(refreshVms());
         spawn(writeRecord());
-        spawn(sendReports());
+        m_reports.start(m_datagrams,
+                        { std::move(report),
+                          [this](const TargetReport &load) { return message(load); },
+                          [this]() -> const VmRecord & {
+                              return m_record;
+                          } });
     }
 
     std::shared_ptr<const RouteTable> routes() const
@@ -152,8 +146,7 @@
     /** Sends a report to all daemons at once. */
     void reportNow()
     {
-        m_isReportDue = true;
-        m_reportTimer.cancel();
+        m_reports.reportNow();
     }
 
     /** @return routes and VM records as text, for a daemon that is behind */
@@ -259,20 +252,13 @@
                 co_await pause(varied(RefreshInterval));
                 continue;
             }
-            announceRecord();
+            m_reports.announceRecord();
             do {
                 co_await pause(SecondRead);
             } while (!m_isRecordStored);
         }
     }
 
-    /** Sends the record to the daemons known, without a change of it. */
-    void announceRecord()
-    {
-        m_recordSendsLeft = RecordSends;
-        reportNow();
-    }
-
     Duration varied(Duration time)
     {
         return scaled(time, std::uniform_real_distribution<double>(0.75, 1.25)(m_random));
@@ -378,7 +364,7 @@
         m_directory.merge(m_record);
         m_isRecordDue = true;
         m_writeTimer.cancel();
-        announceRecord();
+        m_reports.announceRecord();
     }
 
     /** Writes the record of this VM whenever it changes, until the store has it. */
@@ -437,7 +423,7 @@
         }
     }
 
-    GossipMessage message(const TargetReport &report, TimePoint now) const
+    GossipMessage message(const TargetReport &load) const
     {
         GossipMessage message;
         message.daemon = m_record.daemon;
@@ -445,66 +431,11 @@
         message.revision = m_record.revision;
         message.peerAddress = m_record.address;
         message.configVersion = configVersion();
-        message.report = report;
-        message.crashes = m_crashes.recent(now - CrashReportAge, MaxCrashReports);
+        message.report = load;
+        message.crashes = m_crashes.recent(SteadyClock().now() - CrashReportAge, MaxCrashReports);
         return message;
     }
 
-    Task<void> sendReports()
-    {
-        TimePoint lastFar;
-        TargetReport lastSent;
-        while (true) {
-            m_reportTimer.expires_after(NearReportInterval);
-            ErrorCode ignored; // the timer is cancelled when a report is due at once
-            co_await m_reportTimer.async_wait(into(ignored));
-            const TimePoint now = SteadyClock().now();
-            const bool isDue = std::exchange(m_isReportDue, false);
-            const bool hasRecord = m_recordSendsLeft > 0 && (isDue || now - lastFar >= RecordSendInterval);
-            const bool isFar = isDue || hasRecord || now - lastFar >= FarReportInterval;
-            const TargetReport report = m_report();
-            if (!isFar && !differs(report, lastSent)) {
-                continue;
-            }
-            lastSent = report;
-            lastFar = isFar ? now : lastFar;
-            GossipMessage next = message(report, now);
-            if (hasRecord) {
-                --m_recordSendsLeft;
-                next.record = m_record;
-            }
-            send(next, isFar);
-        }
-    }
-
-    static bool differs(const TargetReport &a, const TargetReport &b)
-    {
-        constexpr int LoadStep = 2; // smaller changes are not worth a datagram
-        const int change = static_cast<int>(a.running + a.waiting) - static_cast<int>(b.running + b.waiting);
-        return std::abs(change) >= LoadStep || a.limit != b.limit;
-    }
-
-    void send(const GossipMessage &message, bool isFar)
-    {
-        if (!m_datagrams) {
-            return;
-        }
-        std::vector<Udp::endpoint> receivers;
-        for (const auto &[daemon, vm] : m_directory.all()) {
-            const auto endpoint = toEndpoint(vm.record.address);
-            if (endpoint && !m_directory.isSelf(daemon) && (isFar || m_directory.isSameRegion(vm.record))) {
-                receivers.emplace_back(endpoint->address(), endpoint->port());
-            }
-        }
-        std::shuffle(receivers.begin(), receivers.end(), m_random);
-        receivers.resize(std::min(receivers.size(), message.record ? RecordFanout : ReportFanout));
-        const std::string datagram = message.encode();
-        for (const Udp::endpoint &receiver : receivers) {
-            m_datagrams->send(receiver, datagram);
-            m_metrics.add(Counter::GossipBytesSent, datagram.size());
-        }
-    }
-
     void onDatagram(std::string_view datagram)
     {
         m_metrics.add(Counter::GossipBytesReceived, datagram.size());
@@ -580,20 +511,17 @@
     TableStore<typename Platform::Dialect> m_store;
     PeerClients m_peers;
     std::shared_ptr<DatagramPort> m_datagrams;
-    std::function<TargetReport()> m_report;
     std::function<void(const BackendRecord *)> m_recall;
     VmRecord m_record;
     uint64_t m_rowVersion = 0;
     bool m_isRecordDue = false;
     bool m_isWriting = false;
     bool m_isRecordStored = false;
-    int m_recordSendsLeft = RecordSends;
-    bool m_isReportDue = false;
     bool m_isFetching = false;
     bool m_isStoreReachable = true;
     std::shared_ptr<const RouteTable> m_routes;
     std::string m_routesText;
-    asio::steady_timer m_reportTimer;
+    ReportSender m_reports;
     asio::steady_timer m_writeTimer;
     std::minstd_rand m_random { std::random_device {}() };
 };
--- /dev/null
+++ b/src/process/reportsender.cpp
@@ -0,0 +1,98 @@
+#include "process/reportsender.h"
+
+#include "connection/endpoints.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+/** @return whether the change of the load is worth a datagram */
+bool differs(const TargetReport &a, const TargetReport &b)
+{
+    constexpr int LoadStep = 2;
+    const int change = static_cast<int>(a.running + a.waiting) - static_cast<int>(b.running + b.waiting);
+    return std::abs(change) >= LoadStep || a.limit != b.limit;
+}
+
+} // namespace
+
+ReportSender::ReportSender(asio::io_context &loop, const VmDirectory &directory, Metrics &metrics)
+    : m_loop(loop), m_directory(directory), m_metrics(metrics), m_timer(loop)
+{
+}
+
+void ReportSender::start(std::shared_ptr<DatagramPort> port, ReportSources sources)
+{
+    m_port = std::move(port);
+    m_sources = std::move(sources);
+    if (m_port) {
+        asio::co_spawn(m_loop, sendReports(), asio::detached);
+    }
+}
+
+void ReportSender::reportNow()
+{
+    m_isDue = true;
+    m_timer.cancel();
+}
+
+void ReportSender::announceRecord()
+{
+    m_recordSendsLeft = RecordSends;
+    reportNow();
+}
+
+Task<void> ReportSender::sendReports()
+{
+    while (true) {
+        m_timer.expires_after(NearReportInterval);
+        ErrorCode ignored; // the timer is cancelled when a report is due at once
+        co_await m_timer.async_wait(into(ignored));
+        sendIfDue();
+    }
+}
+
+void ReportSender::sendIfDue()
+{
+    const TimePoint now = SteadyClock().now();
+    const bool isDue = std::exchange(m_isDue, false);
+    const bool hasRecord = m_recordSendsLeft > 0 && (isDue || now - m_lastFar >= RecordSendInterval);
+    const bool isFar = isDue || hasRecord || now - m_lastFar >= FarReportInterval;
+    const TargetReport load = m_sources.load();
+    if (!isFar && !differs(load, m_lastSent)) {
+        return;
+    }
+    m_lastSent = load;
+    m_lastFar = isFar ? now : m_lastFar;
+    GossipMessage message = m_sources.message(load);
+    if (hasRecord) {
+        --m_recordSendsLeft;
+        message.record = m_sources.record();
+    }
+    send(message, isFar);
+}
+
+void ReportSender::send(const GossipMessage &message, bool isFar)
+{
+    std::vector<Udp::endpoint> receivers;
+    for (const auto &[daemon, vm] : m_directory.all()) {
+        const auto endpoint = toEndpoint(vm.record.address);
+        if (endpoint && !m_directory.isSelf(daemon) && (isFar || m_directory.isSameRegion(vm.record))) {
+            receivers.emplace_back(endpoint->address(), endpoint->port());
+        }
+    }
+    std::shuffle(receivers.begin(), receivers.end(), m_random);
+    receivers.resize(std::min(receivers.size(), message.record ? RecordFanout : ReportFanout));
+    const std::string datagram = message.encode();
+    for (const Udp::endpoint &receiver : receivers) {
+        m_port->send(receiver, datagram);
+        m_metrics.add(Counter::GossipBytesSent, datagram.size());
+    }
+}
+
+} // namespace carobjunction
--- /dev/null
+++ b/tests/process/reportsendertest.cpp
@@ -0,0 +1,132 @@
+#include "process/reportsender.h"
+
+#include <catch2/catch.hpp>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+VmRecord recordOf(const std::string &daemon, const std::string &region, const std::string &address)
+{
+    VmRecord record;
+    record.daemon = daemon;
+    record.incarnation = 1;
+    record.revision = 1;
+    record.address = address;
+    record.dataCentre = region + "-a";
+    record.region = region;
+    return record;
+}
+
+/** A daemon that only listens. */
+struct Listener {
+    explicit Listener(asio::io_context &loop)
+    {
+        // A port that is free a moment ago: the datagram port does not tell the one it was given.
+        Udp::socket probe(loop, Udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        const Udp::endpoint endpoint = probe.local_endpoint();
+        probe.close();
+        address = "127.0.0.1:" + std::to_string(endpoint.port());
+        ErrorCode error;
+        port = DatagramPort::open(
+            loop,
+            endpoint,
+            [this](std::string_view datagram) {
+                if (auto message = GossipMessage::decode(datagram)) {
+                    received.push_back(std::move(*message));
+                }
+            },
+            error);
+        REQUIRE(port != nullptr);
+    }
+
+    size_t records() const
+    {
+        return static_cast<size_t>(std::count_if(received.begin(), received.end(), [](const GossipMessage &message) { return message.record.has_value(); }));
+    }
+
+    std::string address;
+    std::shared_ptr<DatagramPort> port;
+    std::vector<GossipMessage> received;
+};
+
+} // namespace
+
+struct ReportSenderFixture {
+    ReportSenderFixture()
+    {
+        directory.merge(own);
+        directory.merge(recordOf("near", "north", near.address));
+        directory.merge(recordOf("far", "south", far.address));
+        reports.start(self.port,
+                      { [this] { return load; },
+                        [this](const TargetReport &report) {
+                            GossipMessage message;
+                            message.daemon = own.daemon;
+                            message.report = report;
+                            return message;
+                        },
+                        [this]() -> const VmRecord & {
+                            return own;
+                        } });
+    }
+
+    void runFor(Duration time)
+    {
+        loop.restart();
+        loop.run_for(time);
+    }
+
+    asio::io_context loop { 1 };
+    Metrics metrics;
+    Listener self { loop };
+    Listener near { loop };
+    Listener far { loop };
+    VmRecord own = recordOf("self", "north", self.address);
+    VmDirectory directory { "self", { "north-a", "north" } };
+    TargetReport load;
+    ReportSender reports { loop, directory, metrics };
+};
+
+TEST_CASE_METHOD(ReportSenderFixture, "ReportSender.changedRecord.isSentTwiceToAll")
+{
+    // Guards against a leave that one lost datagram hides from a daemon.
+    runFor(50ms);
+    own.revision = 2;
+    reports.announceRecord();
+    runFor(ReportSender::RecordSendInterval + 3 * ReportSender::NearReportInterval);
+    CHECK(near.records() == ReportSender::RecordSends);
+    CHECK(far.records() == ReportSender::RecordSends);
+    CHECK(near.received.back().record->revision == 2);
+}
+
+TEST_CASE_METHOD(ReportSenderFixture, "ReportSender.changedLoad.isSentToTheRegionOnly")
+{
+    // Guards against load reports that fill the link between the regions.
+    runFor(ReportSender::RecordSendInterval * 4);
+    const size_t nearBefore = near.received.size();
+    const size_t farBefore = far.received.size();
+    load.running = 5;
+    runFor(2 * ReportSender::NearReportInterval);
+    CHECK(near.received.size() == nearBefore + 1);
+    CHECK(near.received.back().report.running == 5);
+    CHECK(far.received.size() == farBefore);
+}
+
+TEST_CASE_METHOD(ReportSenderFixture, "ReportSender.sameLoad.isNotRepeated")
+{
+    // Guards against datagrams that tell nothing new.
+    runFor(ReportSender::RecordSendInterval * 4);
+    const size_t before = near.received.size();
+    load.running = 1;
+    runFor(2 * ReportSender::NearReportInterval);
+    CHECK(near.received.size() == before);
+}
+
+TEST_CASE_METHOD(ReportSenderFixture, "ReportSender.ownAddress.getsNothing")
+{
+    runFor(ReportSender::RecordSendInterval * 2);
+    CHECK(self.received.empty());
+}
