Send load reports to other data centres each second

Few requests leave their data centre, and answers bring reports as well. Change: a changed load goes to the own data centre after 100 ms at the earliest, to the region after a second, to all each 2 s as before.

--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -123,6 +123,11 @@
         return daemon == m_self;
     }
 
+    bool isSameDataCentre(const VmRecord &record) const
+    {
+        return record.dataCentre == m_place.dataCentre;
+    }
+
     bool isSameRegion(const VmRecord &record) const
     {
         return record.region == m_place.region;
--- a/src/process/reportsender.cpp
+++ b/src/process/reportsender.cpp
@@ -67,22 +67,31 @@
     if (!isFar && !differs(load, m_lastSent)) {
         return;
     }
+    const bool isForRegion = isFar || now - m_lastInRegion >= RegionReportInterval;
+    const Scope scope = isFar ? Scope::All : isForRegion ? Scope::Region : Scope::DataCentre;
     m_lastSent = load;
     m_lastFar = isFar ? now : m_lastFar;
+    m_lastInRegion = isForRegion ? now : m_lastInRegion;
     GossipMessage message = m_sources.message(load);
     if (hasRecord) {
         --m_recordSendsLeft;
         message.record = m_sources.record();
     }
-    send(message, isFar);
+    send(message, scope);
 }
 
-void ReportSender::send(const GossipMessage &message, bool isFar)
+bool ReportSender::isWithin(Scope scope, const VmRecord &record) const
+{
+    const bool isForRecord = scope == Scope::All || (scope == Scope::Region && m_directory.isSameRegion(record));
+    return isForRecord || m_directory.isSameDataCentre(record);
+}
+
+void ReportSender::send(const GossipMessage &message, Scope scope)
 {
     std::vector<Udp::endpoint> receivers;
     for (const auto &[daemon, vm] : m_directory.all()) {
         const auto endpoint = toEndpoint(vm.record.address);
-        if (endpoint && !m_directory.isSelf(daemon) && (isFar || m_directory.isSameRegion(vm.record))) {
+        if (endpoint && !m_directory.isSelf(daemon) && isWithin(scope, vm.record)) {
             receivers.emplace_back(endpoint->address(), endpoint->port());
         }
     }
--- a/src/process/reportsender.h
+++ b/src/process/reportsender.h
@@ -31,8 +31,10 @@
     static constexpr Duration RecordSendInterval = std::chrono::milliseconds(400);
     /** Receivers of a changed record. Others learn of it from the version numbers of later reports. */
     static constexpr size_t RecordFanout = 64;
-    /** Shortest time between two load reports to the daemons of the region. */
+    /** Shortest time between two load reports to the daemons of the data centre. */
     static constexpr Duration NearReportInterval = std::chrono::milliseconds(100);
+    /** The same to the daemons of the region: traffic between data centres is billed by volume, and few requests leave their own. */
+    static constexpr Duration RegionReportInterval = std::chrono::seconds(1);
     /** Time between reports to all daemons. */
     static constexpr Duration FarReportInterval = std::chrono::seconds(2);
     /** Receivers of one report, chosen at random when there are more daemons. */
@@ -53,7 +55,11 @@
 private:
     Task<void> sendReports();
     void sendIfDue();
-    void send(const GossipMessage &message, bool isFar);
+    /** Which daemons a report goes to. */
+    enum class Scope { DataCentre, Region, All };
+
+    bool isWithin(Scope scope, const VmRecord &record) const;
+    void send(const GossipMessage &message, Scope scope);
 
     asio::io_context &m_loop;
     const VmDirectory &m_directory;
@@ -64,6 +70,7 @@
     int m_recordSendsLeft = RecordSends;
     bool m_isDue = false;
     TimePoint m_lastFar;
+    TimePoint m_lastInRegion; /**< Last report to the region or to all. */
     TargetReport m_lastSent;
     std::minstd_rand m_random { std::random_device {}() };
 };
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -153,10 +153,7 @@
 Duration VmDirectory::predicted(const VmView &vm, const TargetQuery &query, TimePoint now) const
 {
     const VmRecord &record = vm.record;
-    const Duration hop = isSelf(record.daemon)    ? Duration::zero()
-        : record.dataCentre == m_place.dataCentre ? SameDataCentre
-        : isSameRegion(record)                    ? SameRegion
-                                                  : OtherRegion;
+    const Duration hop = isSelf(record.daemon) ? Duration::zero() : isSameDataCentre(record) ? SameDataCentre : isSameRegion(record) ? SameRegion : OtherRegion;
     const uint32_t limit = std::max<uint32_t>(vm.report.limit, 1);
     const uint32_t busy = vm.report.running + vm.report.waiting + vm.sentSince;
     const double usual = vm.report.cold ? HostSlowness::ColdFactor : 1;
