Read the diff as a newcomer: names, groups of events, escapes in logs

Cause: the read-through found a flag named for something else, bare numbers for groups of events, and quoted values of log lines whose escapes of control characters 'explain' did not undo. Change: a switch over the scope of reports, named group numbers, and the escapes. Conclusion: no change of behaviour but for the escapes.

--- a/cli/logstory.cpp
+++ b/cli/logstory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <filesystem>
 #include <fstream>
@@ -16,8 +17,11 @@
 using std::chrono::milliseconds;
 
 constexpr auto ContextTime = std::chrono::seconds(5); // before and after the request
-constexpr int EventOfRequests = 2000; // events from here to the next thousand are of requests
-constexpr int EventOfTargets = 3000;
+// First numbers of groups of events, see docs/events.md.
+constexpr int RequestEvents = 2000;
+constexpr int TargetEvents = 3000;
+constexpr int MembershipEvents = 4000;
+constexpr int ConfigurationEvents = 5000;
 
 std::optional<milliseconds> parseTime(std::string_view text)
 {
@@ -34,16 +38,28 @@
     return std::chrono::seconds(timegm(&time)) + milliseconds(fraction);
 }
 
+/** Takes one character of a quoted value, or the escape sequence of one: a backslash and the character, or `\\xNN`. */
+char takeCharacter(std::string_view &text)
+{
+    constexpr size_t HexLength = 4;
+    constexpr int Hex = 16;
+    if (text.starts_with("\\x") && text.size() >= HexLength) {
+        const std::string digits(text.substr(2, 2));
+        text.remove_prefix(HexLength);
+        return static_cast<char>(std::strtol(digits.c_str(), nullptr, Hex));
+    }
+    text.remove_prefix(text.front() == '\\' && text.size() > 1 ? 1 : 0);
+    const char character = text.front();
+    text.remove_prefix(1);
+    return character;
+}
+
 /** Takes a quoted value, its opening quote already removed. */
 std::string takeQuoted(std::string_view &text)
 {
     std::string value;
     while (!text.empty() && text.front() != '"') {
-        if (text.front() == '\\' && text.size() > 1) {
-            text.remove_prefix(1);
-        }
-        value += text.front();
-        text.remove_prefix(1);
+        value += takeCharacter(text);
     }
     text.remove_prefix(text.empty() ? 0 : 1);
     return value;
@@ -64,11 +80,8 @@
 
 bool isContextOf(const LogLine &line, const std::string &daemon, const std::set<std::string> &backends, const std::set<std::string> &daemons)
 {
-    if (line.event >= EventOfRequests && line.event < EventOfTargets) {
-        return false;
-    }
-    const bool isOfBackend = line.event >= EventOfTargets && line.event < EventOfTargets + 1000 && backends.count(line.field("backend")) > 0;
-    const bool isOfDaemon = daemons.count(daemon) > 0 && (line.event < EventOfRequests || line.event >= 5000);
+    const bool isOfBackend = line.event >= TargetEvents && line.event < MembershipEvents && backends.count(line.field("backend")) > 0;
+    const bool isOfDaemon = daemons.count(daemon) > 0 && (line.event < RequestEvents || line.event >= ConfigurationEvents);
     return isOfBackend || isOfDaemon;
 }
 
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -55,6 +55,7 @@
     static constexpr Duration WatchTime = std::chrono::seconds(28);
     /** Time for which the first write of the record waits for the backend server's first heartbeat, which changes the record. */
     static constexpr Duration FirstWriteDelay = std::chrono::seconds(3);
+    /** Interval at which waitUntilStored() looks. */
     static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
--- a/src/process/reportsender.cpp
+++ b/src/process/reportsender.cpp
@@ -82,8 +82,15 @@
 
 bool ReportSender::isWithin(Scope scope, const VmRecord &record) const
 {
-    const bool isForRecord = scope == Scope::All || (scope == Scope::Region && m_directory.isSameRegion(record));
-    return isForRecord || m_directory.isSameDataCentre(record);
+    switch (scope) {
+    case Scope::All:
+        return true;
+    case Scope::Region:
+        return m_directory.isSameRegion(record);
+    case Scope::DataCentre:
+        break;
+    }
+    return m_directory.isSameDataCentre(record);
 }
 
 void ReportSender::send(const GossipMessage &message, Scope scope)
--- a/tests/process/explaintest.cpp
+++ b/tests/process/explaintest.cpp
@@ -52,7 +52,7 @@
 
 constexpr const char *EntryLog = "2026-12-04T10:00:00.100Z INFO  event=1001 name=daemon-started daemon=entry\n"
                                  "2026-12-04T10:00:01.050Z INFO  event=2004 name=retry-decided request=r1 daemon=owner backend=i-1 outcome=unknown "
-                                 "reason=answer-lost detail=\"End of file\"\n"
+                                 "reason=answer-lost detail=\"End \\\"of\\\" file\\x09\"\n"
                                  "2026-12-04T10:00:01.051Z INFO  event=2003 name=call-answered request=r1 status=502 reason=answer-lost ms=60\n"
                                  "2026-12-04T10:00:01.052Z INFO  event=2003 name=call-answered request=r2 status=200 reason=none ms=9\n";
 
@@ -77,7 +77,7 @@
     CHECK(story["steps"][1]["ms"] == -2);
     CHECK(story["steps"][1]["daemon"] == "owner");
     CHECK(story["steps"][1]["context"] == true);
-    CHECK(story["steps"][3]["fields"]["detail"] == "End of file");
+    CHECK(story["steps"][3]["fields"]["detail"] == "End \"of\" file\t");
 }
 
 TEST_CASE_METHOD(ExplainFixture, "Explain.clockThatIsAhead.isSetBack")
