Leave room in the allowance for the calls of repeated runs

A repeated run makes two calls with a share of 0.7, 1.4 on average, to the same service, and these count as repeats; 0.45 of the allowance times 2.4 is 1.08 of it. Change: a daemon spends 1/2.75 of its part, which leaves room for 1.75 calls a repeated run. Conclusion: the daemons can't tell such calls from others, so the room is fixed; marking them would allow more repeats.

--- a/include/carobjunction/process/retryledger.h
+++ b/include/carobjunction/process/retryledger.h
@@ -24,8 +24,10 @@
 class RetryLedger
 {
 public:
-    /** Part of the allowance that is spent; the rest covers calls made by repeated runs, which count at the service called. */
-    static constexpr double SpentShare = 0.45;
+    /** Calls that a repeated run makes, which count as repeats at the service called. */
+    static constexpr double CallsPerRepeat = 1.75;
+    /** Part of the allowance that is spent; the rest is for the calls of repeated runs, which no daemon can tell from others. */
+    static constexpr double SpentShare = 1 / (1 + CallsPerRepeat);
 
     explicit RetryLedger(const RetryAllowance &allowance) : m_allowance(allowance)
     {
