Forget the slowness of targets that get no calls

The logs show three things. The targets were slow together while the machine was overloaded, so no ejection followed. Each entry then called its own target only, because the scores of the three others stayed at 31 to 62 ms for 60 s against 10.8 ms: a latency fades to the median of the targets, and that median was as old as they were. A target's daemon also went on reporting the service time of its last calls, however long ago.

Ruled out: a leaked in-flight count, a lost member, a silent backend server and gRPC's reconnect pause; no such event is in the logs, and target 1 was among the candidates of each decision.

Change: the median is taken over targets called within 10 s, if there are any; an idle target reports no service time 5 s after its last answer. The soak's format glitch and a wrong claim in a comment of the RetryLedger test are mended.

--- a/include/carobjunction/process/admissioncontroller.h
+++ b/include/carobjunction/process/admissioncontroller.h
@@ -437,7 +437,7 @@
     {
         switch (kind) {
         case CompletionKind::Answered:
-            m_times.onCompletion(m_clock.now() - running.startedAt);
+            m_times.onCompletion(m_clock.now() - running.startedAt, m_clock.now());
             m_concurrency.onAnswer(m_times);
             return;
         case CompletionKind::Overloaded:
@@ -484,7 +484,9 @@
         report.limit = limit();
         report.inFlight = static_cast<uint32_t>(m_running.size());
         report.queued = static_cast<uint32_t>(m_queue.size());
-        report.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(m_times.expected(middleAge()));
+        if (!m_running.empty() || !m_times.isOutdated(now)) {
+            report.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(m_times.expected(middleAge()));
+        }
         report.predictedWait = std::chrono::duration_cast<std::chrono::microseconds>(predictedWait());
         report.leaving = m_leaving || !m_present;
         report.cold = now - m_startedAt < m_limits.coldRamp;
--- a/include/carobjunction/process/servicetimeestimate.h
+++ b/include/carobjunction/process/servicetimeestimate.h
@@ -13,6 +13,9 @@
 class ServiceTimeEstimate
 {
 public:
+    /** Time after the last answer for which an idle backend server's service time still holds. */
+    static constexpr Duration Validity = std::chrono::seconds(5);
+
     /** Forgets everything, for a new process of the backend server. */
     void reset()
     {
@@ -21,8 +24,9 @@
     }
 
     /** @param duration  time that an answered request took */
-    void onCompletion(Duration duration)
+    void onCompletion(Duration duration, TimePoint now)
     {
+        m_lastCompletion = now;
         if (m_smoothed == Duration::zero()) {
             m_smoothed = duration;
             m_baseline = duration;
@@ -40,6 +44,12 @@
         return m_smoothed;
     }
 
+    /** @return whether the last answer is too long ago for the service time of an idle backend server to hold */
+    bool isOutdated(TimePoint now) const
+    {
+        return now - m_lastCompletion > Validity;
+    }
+
     /** @return service time without overload; zero if nothing is known */
     Duration baseline() const
     {
@@ -66,6 +76,7 @@
 
     Duration m_smoothed = Duration::zero();
     Duration m_baseline = Duration::zero();
+    TimePoint m_lastCompletion;
 };
 
 } // namespace carobjunction
--- a/include/carobjunction/process/targethealth.h
+++ b/include/carobjunction/process/targethealth.h
@@ -76,6 +76,9 @@
     /** @return smoothed latency; empty before the first answer. A high one fades to @p typical while no calls arrive. */
     std::optional<Duration> latency(TimePoint now, Duration typical) const;
 
+    /** @return whether the smoothed latency is of calls that ended a short time ago */
+    bool isLatencyCurrent(TimePoint now) const;
+
     Duration deviation() const
     {
         return m_deviation;
--- a/include/carobjunction/process/targettable.h
+++ b/include/carobjunction/process/targettable.h
@@ -470,14 +470,16 @@
 template<MonotonicClock Clock>
 Duration TargetTable<Clock>::typicalLatency(const Service &service, TimePoint now, const State *except) const
 {
-    std::vector<Duration> latencies;
+    // Latencies of targets that get no calls are as old as the reason why they get none, so they count only where there are no others.
+    std::vector<Duration> current;
+    std::vector<Duration> old;
     for (const auto &[daemon, state] : service.targets) {
         const std::optional<Duration> latency = state.health.latency(now, Duration::zero());
         if (&state != except && latency) {
-            latencies.push_back(*latency);
+            (state.health.isLatencyCurrent(now) ? current : old).push_back(*latency);
         }
     }
-    return detail::medianOf(std::move(latencies));
+    return detail::medianOf(std::move(current.empty() ? old : current));
 }
 
 template<MonotonicClock Clock>
--- a/src/process/targethealth.cpp
+++ b/src/process/targethealth.cpp
@@ -57,6 +57,9 @@
 constexpr std::chrono::duration<double> LatencyHalfLife { 5 };
 constexpr std::chrono::duration<double> FailureHalfLife { 2 };
 
+/** Time for which a latency tells what calls take now. */
+constexpr Duration LatencyValidity = std::chrono::seconds(10);
+
 double fade(Duration elapsed, std::chrono::duration<double> halfLife)
 {
     return std::exp2(-std::max(0.0, std::chrono::duration<double>(elapsed) / halfLife));
@@ -206,6 +209,11 @@
     return typical + scaled(*m_latency - typical, fade(now - m_latencyAt, LatencyHalfLife));
 }
 
+bool TargetHealth::isLatencyCurrent(TimePoint now) const
+{
+    return m_latency && now - m_latencyAt <= LatencyValidity;
+}
+
 double TargetHealth::failureShare(TimePoint now) const
 {
     const double share = m_failureShare * fade(now - m_failureAt, FailureHalfLife);
--- a/tests/process/admissioncontrollertest.cpp
+++ b/tests/process/admissioncontrollertest.cpp
@@ -46,6 +46,19 @@
 
 } // namespace
 
+TEST_CASE_METHOD(AdmissionFixture, "AdmissionController.idleTarget.doesNotReportTheSlownessOfLongAgo")
+{
+    // Guards against a target that gets no calls because it was slow, and is believed slow because it gets no calls.
+    const AdmissionTicket ticket = controller.request(request()).ticket;
+    clock.advance(100ms);
+    controller.finished(ticket, CompletionKind::Answered);
+    CHECK(controller.load().serviceTime == 100ms);
+    clock.advance(4s);
+    CHECK(controller.load().serviceTime == 100ms);
+    clock.advance(2s);
+    CHECK(controller.load().serviceTime == 0ms);
+}
+
 TEST_CASE_METHOD(AdmissionFixture, "AdmissionController.requestAfterLeave.isRefusedAndRunningOnesKeepTheirSlots")
 {
     // Guards against new work for a leaving backend server, and against a cut of requests in progress.
--- a/tests/process/retryledgertest.cpp
+++ b/tests/process/retryledgertest.cpp
@@ -34,8 +34,9 @@
 
 TEST_CASE("RetryLedger.repeatedRunsThatCallTheirOwnService.stayWithinTheSharedAllowance")
 {
-    // Pattern: targets shed half of their requests, and each repeat that runs calls the same service, 1.4 times on average and up to
-    // 1.75 times in a window. Broke the budget on scale-1 of nps-mesh-grown: 1316 arrivals beyond the first of 1308 allowed.
+    // Pattern: targets shed half of their requests, and each repeat that runs calls the same service, 1.4 times on average by the
+    // site file, and by chance more often in one window. Broke the budget on scale-1 of nps-mesh-grown: 1316 arrivals beyond the first of
+    // 1308 allowed.
     constexpr double CallsOfARun = 1.75;
     const RetryAllowance allowance { 0.2, 164, 10s };
     constexpr size_t Daemons = 62;
--- a/tests/process/targettabletest.cpp
+++ b/tests/process/targettabletest.cpp
@@ -154,6 +154,29 @@
     CHECK(shot("b").phase == TargetPhase::Normal);
 }
 
+TEST_CASE_METHOD(TableFixture, "TargetTable.slownessOfAllTargets.isForgottenByTheEntryThatCallsOne", "[routing]")
+{
+    // Guards against an entry that keeps to its own target for good: the latencies of the others date from a time in which all were
+    // slow, and so does their median, to which they must not fade.
+    const auto call = [&](std::span<const std::string> excluded, Duration latency) {
+        const auto choice = table.choose(config, excluded);
+        REQUIRE(choice);
+        clock.advance(latency);
+        table.finished("ordering", choice->target.daemon, choice->target.incarnation, answered(200, latency));
+    };
+    for (int i = 0; i < 100; ++i) {
+        call({}, 60ms);
+    }
+    const std::vector<std::string> others { "b", "c", "d", "e" };
+    for (int i = 0; i < 20; ++i) {
+        call(others, 5ms);
+    }
+    for (int i = 0; i < 6000; ++i) {
+        call({}, 5ms);
+    }
+    CHECK(shot("b").latency.value() < 10ms);
+}
+
 TEST_CASE_METHOD(TableFixture, "TargetTable.reportsOutOfOrder.keepsTheLatest", "[routing]")
 {
     // Guards against decisions on a load report that was overtaken, or that a former process of the target made.
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -258,7 +258,7 @@
     exchange.endedAt = SteadyClock().now();
     m_promises.onEnd(exchange);
     const bool isAnswered = exchange.result.end == ExchangeEnd::Answered;
-    co_return isAnswered &&exchange.result.response.result() == http::status::ok;
+    co_return isAnswered && exchange.result.response.result() == http::status::ok;
 }
 
 Task<void> SoakWorld::caller(SoakVm &vm, bool isIdempotent)
