Split Gossip into parts with one job each

Each part has a mutex of its own, and none is held while another part is called. Code was moved, not rewritten.

--- /dev/null
+++ b/src/process/gossipmessenger.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "process/eventlog.h"
+#include "process/gossipcontext.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+
+namespace carobjunction
+{
+
+/** Answer to one message, with what the receiver of the answer knows better. */
+struct GossipAnswer {
+    v1::ExchangeResponse response;
+    std::vector<MemberPointer> corrections;
+    std::size_t changed = 0;
+};
+
+/** Sends single messages to other daemons and takes in what messages and answers tell. Thread-safe; holds no lock during calls. */
+template<PeerTransport T, MonotonicClock C>
+class GossipMessenger
+{
+public:
+    using Context = GossipContext<T, C>;
+
+    /** @param context  must outlive this object */
+    explicit GossipMessenger(const Context &context) : m_context(context), m_random(context.options.randomSeed), m_lastAnswer(context.clock.now())
+    {
+    }
+
+    template<typename Message>
+    void addMember(Message &message, const Member &member) const
+    {
+        if (static_cast<std::size_t>(message.members_size()) < m_context.options.maxEntries) {
+            *message.add_members() = toWire(member);
+        }
+    }
+
+    template<typename Entries>
+    std::vector<MemberPointer> mergeMembers(const Entries &entries, const std::string &source, bool &isNews)
+    {
+        std::vector<Member> valid;
+        for (const v1::MemberEntry &entry : entries) {
+            if (std::optional<Member> member = fromWire(entry)) {
+                valid.push_back(std::move(*member));
+            }
+        }
+        MergeResult result = m_context.view.merge(valid, source);
+        isNews |= result.changed > 0;
+        if (result.refuted) {
+            EventLog::write(
+                LogLevel::Warning, Event::SuspicionRefuted, { { "revision", std::to_string(m_context.view.own().revision) }, { "reported_by", source } });
+        }
+        return std::move(result.corrections);
+    }
+
+    template<typename Entries>
+    bool mergeSuspects(const Entries &entries)
+    {
+        bool isNews = false;
+        for (const v1::SuspectEntry &entry : entries) {
+            isNews |= m_context.hooks.mergeSuspect && m_context.hooks.mergeSuspect(entry);
+        }
+        return isNews;
+    }
+
+    /** Sends one message and merges the answer. An answer from another daemon than @p expected counts as none. */
+    std::optional<GossipAnswer> call(const std::string &address, const std::string &expected, v1::ExchangeRequest request, Duration timeout)
+    {
+        request.set_daemon(m_context.view.ownId());
+        request.set_incarnation(m_context.view.own().incarnation);
+        std::optional<v1::ExchangeResponse> response = m_context.transport.exchange(address, request, timeout);
+        if (!response || response->daemon() == m_context.view.ownId() || (!expected.empty() && response->daemon() != expected)) {
+            return std::nullopt;
+        }
+        noteAnswer();
+        GossipAnswer answer;
+        bool isNews = false;
+        const uint64_t before = m_context.view.sequence();
+        answer.corrections = mergeMembers(response->members(), response->daemon(), isNews);
+        answer.changed = m_context.view.sequence() - before;
+        for (const v1::ConfigEntry &entry : response->configs()) {
+            isNews |= !entry.content().empty() && m_context.configs.offer(fromWire(entry)) == ConfigOffer::Accepted;
+        }
+        isNews |= mergeSuspects(response->suspects());
+        answer.response = std::move(*response);
+        if (isNews) {
+            m_context.wake();
+        }
+        return answer;
+    }
+
+    template<typename Entries>
+    void takeConfigs(const Entries &entries, v1::ExchangeResponse &response, bool &isNews)
+    {
+        for (const v1::ConfigEntry &entry : entries) {
+            if (!entry.content().empty()) {
+                isNews |= m_context.configs.offer(fromWire(entry)) == ConfigOffer::Accepted;
+            } else if (m_context.configs.isWanted(entry.service(), entry.version(), entry.hash()) && startFetch(entry)) {
+                response.add_wanted_configs(entry.service());
+            }
+        }
+    }
+
+    template<typename Message>
+    void addConfigs(const google::protobuf::RepeatedPtrField<std::string> &services, Message &message) const
+    {
+        std::size_t bytes = 0;
+        for (const std::string &service : services) {
+            const std::shared_ptr<const ConfigEntry> entry = m_context.configs.entry(service);
+            if (entry && bytes + entry->content.size() <= m_context.options.maxConfigBytes) {
+                bytes += entry->content.size();
+                *message.add_configs() = toWire(*entry);
+            }
+        }
+    }
+
+    /** @return whether this daemon itself seems to be cut off, so that its opinion on others means nothing */
+    bool isIsolated() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_context.clock.now() - m_lastAnswer > 3 * m_context.options.interval;
+    }
+
+    uint64_t randomBelow(uint64_t bound)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::uniform_int_distribution<uint64_t>(0, bound - 1)(m_random);
+    }
+
+    template<typename Item>
+    void shuffle(std::vector<Item> &items)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::shuffle(items.begin(), items.end(), m_random);
+    }
+
+    /** Records that another daemon answered. */
+    void noteAnswer()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lastAnswer = m_context.clock.now();
+    }
+
+    /** @return a random number from @p low up to @p high */
+    double randomBetween(double low, double high)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::uniform_real_distribution<double>(low, high)(m_random);
+    }
+
+private:
+    /** @return whether to fetch a version now; several neighbours name it within a short time, and one content is enough */
+    bool startFetch(const v1::ConfigEntry &entry)
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_context.clock.now();
+        std::erase_if(m_fetches, [&](const auto &fetch) { return now - fetch.second >= m_context.options.exchangeTimeout; });
+        return m_fetches.try_emplace({ entry.service(), entry.version() }, now).second;
+    }
+
+    const Context &m_context;
+    mutable std::mutex m_mutex;
+    std::mt19937_64 m_random;
+    TimePoint m_lastAnswer;
+    std::map<std::pair<std::string, uint64_t>, TimePoint> m_fetches; /**< Contents asked for, by service and version. */
+};
+
+} // namespace carobjunction
--- /dev/null
+++ b/src/process/peerchecker.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "process/gossipmessenger.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace carobjunction
+{
+
+/** Finds out by indirect probes whether a daemon that did not answer has failed. Thread-safe; holds no lock during calls. */
+template<PeerTransport T, MonotonicClock C>
+class PeerChecker
+{
+public:
+    using Context = GossipContext<T, C>;
+
+    /** @param context, messenger  must outlive this object */
+    PeerChecker(const Context &context, GossipMessenger<T, C> &messenger) : m_context(context), m_messenger(messenger)
+    {
+    }
+
+    /** Has the daemon checked by others at once, because a call to it failed. Does not block. */
+    void noteUnreachable(const std::string &daemon)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            const TimePoint now = m_context.clock.now();
+            const auto [checked, isFirst] = m_checkedAt.try_emplace(daemon, now);
+            // Each failed call of a busy daemon reports the same fault.
+            if (!isFirst && now - checked->second < 2 * m_context.options.interval) {
+                return;
+            }
+            checked->second = now;
+            m_checks.insert(daemon);
+        }
+        m_context.wake();
+    }
+
+    std::vector<std::string> takeChecks()
+    {
+        const std::lock_guard lock(m_mutex);
+        // A lost data centre must not stop everything else for the time of many timeouts.
+        constexpr std::size_t MaxChecks = 2;
+        std::vector<std::string> checks;
+        while (!m_checks.empty() && checks.size() < MaxChecks) {
+            checks.push_back(*m_checks.begin());
+            m_checks.erase(m_checks.begin());
+        }
+        if (m_checkedAt.size() > m_context.options.maxEntries) {
+            const TimePoint now = m_context.clock.now();
+            std::erase_if(m_checkedAt, [&](const auto &item) { return now - item.second >= 2 * m_context.options.interval; });
+        }
+        return checks;
+    }
+
+    /** Asks other daemons whether they reach a member, and marks it as suspected if none of them does. */
+    void check(const std::string &daemon)
+    {
+        const MemberPointer member = m_context.view.find(daemon);
+        // Each region judges its own daemons, so that a broken link between regions makes nobody fail.
+        if (!member || daemon == m_context.view.ownId() || member->state >= MemberState::Suspected || member->region != m_context.view.own().region) {
+            return;
+        }
+        const std::vector<MemberPointer> helpers = helpersFor(*member);
+        v1::IndirectProbeRequest request;
+        request.set_daemon(daemon);
+        request.set_peer_address(member->peerAddress);
+        request.set_timeout_us(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(m_context.options.probeTimeout).count()));
+        std::size_t agreeing = 0;
+        constexpr std::size_t MaxAsked = 4;
+        for (std::size_t index = 0; index < std::min(MaxAsked, helpers.size()) && agreeing < Helpers; ++index) {
+            const std::optional<bool> isReachable
+                = m_context.transport.indirectProbe(helpers[index]->peerAddress, request, m_context.options.probeTimeout + m_context.options.exchangeTimeout);
+            if (!isReachable) {
+                continue;
+            }
+            m_messenger.noteAnswer();
+            if (*isReachable) {
+                return;
+            }
+            ++agreeing;
+        }
+        // In a group of three daemons there is only one other to ask. Without any answer, this daemon itself may be cut off.
+        if (agreeing > 0 && agreeing >= std::min(Helpers, helpers.size()) && m_context.view.suspect(daemon, member->rank())) {
+            m_context.wake();
+        }
+    }
+
+private:
+    static constexpr std::size_t Helpers = 2; /**< Daemons that must agree that another one is unreachable. */
+
+    /** @return live members to ask, in random order, those of the own region first */
+    std::vector<MemberPointer> helpersFor(const Member &member)
+    {
+        std::vector<MemberPointer> helpers;
+        for (const MemberList list = m_context.view.members(); const MemberPointer &candidate : *list) {
+            if (candidate->state <= MemberState::Leaving && candidate->daemon != member.daemon && candidate->daemon != m_context.view.ownId()) {
+                helpers.push_back(candidate);
+            }
+        }
+        m_messenger.shuffle(helpers);
+        std::stable_partition(helpers.begin(), helpers.end(), [&](const MemberPointer &candidate) { return candidate->region == member.region; });
+        return helpers;
+    }
+
+    const Context &m_context;
+    GossipMessenger<T, C> &m_messenger;
+    std::mutex m_mutex;
+    std::set<std::string> m_checks;
+    std::unordered_map<std::string, TimePoint> m_checkedAt;
+};
+
+} // namespace carobjunction
