Fetch only routes when behind, and from the own region first

A daemon that heard of a newer version half a second before the store told it fetched the whole state, records of all VMs included, from whichever daemon it had heard of, in either region.

Change: RoutesCatchUp decides whom to ask: the store has 500 ms, daemons of the own region one second more, then the other region. The call /carobjunction/routes brings no records. Each datagram names a peer to ask once.

--- a/src/connection/peerclients.cpp
+++ b/src/connection/peerclients.cpp
@@ -58,7 +58,7 @@
     }
     ExchangeOptions options;
     options.deadline = SteadyClock().now() + StateTimeout;
-    HttpRequest request(http::verb::get, part == StatePart::All ? PeerCodec::StatePath : PeerCodec::RecordPath, 11);
+    HttpRequest request(http::verb::get, std::string(nameOf(part)), 11);
     request.set(http::field::host, "peer");
     ExchangeResult exchange = co_await connections->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
     if (exchange.end != ExchangeEnd::Answered || exchange.response.result() != http::status::ok) {
--- a/src/connection/peerclients.h
+++ b/src/connection/peerclients.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/httpclientpool.h"
+#include "connection/peercodec.h"
 #include "request/forwarding.h"
 
 #include <map>
@@ -10,12 +11,6 @@
 namespace carobjunction
 {
 
-/** What a daemon asks another for. Routes can be many, and traffic between data centres is billed by volume. */
-enum class StatePart {
-    OwnRecord, /**< The record of the other's VM. */
-    All, /**< Routes and all VM records. */
-};
-
 /** Connections to the other daemons. Used on one event loop; not thread-safe. */
 class PeerClients
 {
--- a/src/connection/peercodec.h
+++ b/src/connection/peercodec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <carobjunction/process/enumnames.h>
+
 #include "request/forwarding.h"
 
 #include <optional>
@@ -7,6 +9,23 @@
 namespace carobjunction
 {
 
+/** What a daemon asks another for. Routes and records can be many, and traffic between data centres is billed by volume. */
+enum class StatePart {
+    All, /**< Routes and all VM records. */
+    Routes,
+    OwnRecord, /**< The record of the other's VM. */
+};
+
+/** Paths of the calls between daemons. */
+template<>
+struct EnumNames<StatePart> {
+    static constexpr std::pair<StatePart, std::string_view> Table[] = {
+        { StatePart::All, "/carobjunction/state" },
+        { StatePart::Routes, "/carobjunction/routes" },
+        { StatePart::OwnRecord, "/carobjunction/record" },
+    };
+};
+
 /**
  * Message between the entry daemon and the daemon beside a target: the caller's request with one more header field, and the
  * backend server's answer with one more header field. Both fields hold JSON.
@@ -14,10 +33,6 @@
 class PeerCodec
 {
 public:
-    /** Path of the call for all that a daemon knows: routes and VM records. */
-    static constexpr const char *StatePath = "/carobjunction/state";
-    /** Path of the call for the record of the daemon's own VM. */
-    static constexpr const char *RecordPath = "/carobjunction/record";
     /** Field of a forwarded request. Removed from what callers send. */
     static constexpr const char *RequestField = "Carob-Forward";
     /** Field of the answer to a forwarded request. */
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/crashhistory.h>
 #include <carobjunction/process/durations.h>
+#include <carobjunction/process/routescatchup.h>
 #include <carobjunction/process/vmdirectory.h>
 #include <carobjunction/version/routetable.h>
 
@@ -59,8 +60,10 @@
     static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     static constexpr Duration FirstBackoff = std::chrono::milliseconds(100);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1500);
-    /** Time for which the store is given to bring a change before a peer is asked for it. */
-    static constexpr Duration StoreHeadStart = std::chrono::milliseconds(500);
+    /** Time for which further datagrams are given to bring a record before a peer is asked for it. */
+    static constexpr Duration RecordHeadStart = std::chrono::milliseconds(500);
+    /** Interval at which a daemon without the newest routes looks for a peer to ask. */
+    static constexpr Duration CatchUpInterval = std::chrono::milliseconds(50);
     /** Age up to which crashes are reported again, as datagrams may be lost. */
     static constexpr Duration CrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
@@ -153,10 +156,9 @@
     /** @return what a daemon that is behind asks for, as text */
     std::string encodeState(StatePart part) const
     {
-        const bool isAll = part == StatePart::All;
-        nlohmann::json state { { "routes", isAll ? m_routesText : "" }, { "vms", nlohmann::json::array() } };
+        nlohmann::json state { { "routes", part == StatePart::OwnRecord ? "" : m_routesText }, { "vms", nlohmann::json::array() } };
         for (const auto &[daemon, vm] : m_directory.all()) {
-            if (isAll || m_directory.isSelf(daemon)) {
+            if (part == StatePart::All || (part == StatePart::OwnRecord && m_directory.isSelf(daemon))) {
                 state["vms"].push_back(VmRecordCodec::encode(vm.record));
             }
         }
@@ -456,8 +458,15 @@
         for (const CrashReport &crash : message->crashes) {
             m_crashes.add(crash, now);
         }
-        if (isBehind(*message) && !std::exchange(m_isFetching, true)) {
-            spawn(fetchState(*message));
+        if (lacksRecord(*message) && !std::exchange(m_isFetching, true)) {
+            spawn(fetchRecord(*message));
+        }
+        if (message->configVersion > configVersion()) {
+            const VmView *vm = m_directory.find(message->daemon);
+            m_catchUp.onAhead({ message->peerAddress, message->configVersion, vm != nullptr && m_directory.isSameRegion(vm->record) }, now);
+            if (!std::exchange(m_isCatchingUp, true)) {
+                spawn(catchUpWithRoutes());
+            }
         }
     }
 
@@ -466,27 +475,44 @@
         return m_routes ? m_routes->version() : 0;
     }
 
-    /** @return whether the sender has a record of its VM, or routes, that this daemon lacks */
-    bool isBehind(const GossipMessage &message) const
+    /** @return whether the sender has a record of its VM that this daemon lacks */
+    bool lacksRecord(const GossipMessage &message) const
     {
         const VmView *vm = m_directory.find(message.daemon);
-        const bool hasRecord = vm != nullptr && std::pair(vm->record.incarnation, vm->record.revision) >= std::pair(message.incarnation, message.revision);
-        return !hasRecord || message.configVersion > configVersion();
+        return vm == nullptr || std::pair(vm->record.incarnation, vm->record.revision) < std::pair(message.incarnation, message.revision);
     }
 
-    /** Fetches from a peer what the store has not brought. */
-    Task<void> fetchState(GossipMessage ahead)
+    /** Fetches the record of a peer's VM. A daemon that knows no other VM fetches all records, since the store has brought none. */
+    Task<void> fetchRecord(GossipMessage ahead)
     {
-        co_await pause(StoreHeadStart);
-        if (isBehind(ahead)) {
-            const bool needsAll = ahead.configVersion > configVersion() || m_directory.all().size() < 2;
-            if (const auto state = co_await m_peers.fetchState(ahead.peerAddress, needsAll ? StatePart::All : StatePart::OwnRecord)) {
+        co_await pause(RecordHeadStart);
+        if (lacksRecord(ahead)) {
+            const StatePart part = m_directory.all().size() < 2 ? StatePart::All : StatePart::OwnRecord;
+            if (const auto state = co_await m_peers.fetchState(ahead.peerAddress, part)) {
                 takeState(*state);
             }
         }
         m_isFetching = false;
     }
 
+    /** Fetches routes from peers as long as one is known that has newer ones. */
+    Task<void> catchUpWithRoutes()
+    {
+        while (m_catchUp.isBehind(configVersion())) {
+            const auto address = m_catchUp.source(SteadyClock().now());
+            if (!address) {
+                co_await pause(CatchUpInterval);
+                continue;
+            }
+            if (const auto state = co_await m_peers.fetchState(*address, StatePart::Routes)) {
+                takeState(*state);
+            }
+            // Asked once for each time that it is heard of, also if its routes can't be read.
+            m_catchUp.onAsked(*address);
+        }
+        m_isCatchingUp = false;
+    }
+
     void takeState(const std::string &text)
     {
         try {
@@ -523,6 +549,8 @@
     bool m_isWriting = false;
     bool m_isRecordStored = false;
     bool m_isFetching = false;
+    bool m_isCatchingUp = false;
+    RoutesCatchUp m_catchUp;
     bool m_isStoreReachable = true;
     std::shared_ptr<const RouteTable> m_routes;
     std::string m_routesText;
--- a/src/process/reportsender.cpp
+++ b/src/process/reportsender.cpp
@@ -93,19 +93,30 @@
     return m_directory.isSameDataCentre(record);
 }
 
-void ReportSender::send(const GossipMessage &message, Scope scope)
+std::vector<Udp::endpoint> ReportSender::chooseReceivers(const GossipMessage &message, Scope scope)
 {
-    std::vector<Udp::endpoint> receivers;
+    std::vector<Udp::endpoint> near;
+    std::vector<Udp::endpoint> far;
     for (const auto &[daemon, vm] : m_directory.all()) {
         const auto endpoint = toEndpoint(vm.record.address);
         if (endpoint && !m_directory.isSelf(daemon) && isWithin(scope, vm.record)) {
-            receivers.emplace_back(endpoint->address(), endpoint->port());
+            (m_directory.isSameRegion(vm.record) ? near : far).emplace_back(endpoint->address(), endpoint->port());
         }
     }
-    std::shuffle(receivers.begin(), receivers.end(), m_random);
-    receivers.resize(std::min(receivers.size(), message.record ? RecordFanout : ReportFanout));
+    std::shuffle(far.begin(), far.end(), m_random);
+    if (!message.record && message.crashes.empty()) {
+        far.resize(std::min(far.size(), OtherRegionFanout));
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    std::shuffle(near.begin(), near.end(), m_random);
+    near.resize(std::min(near.size(), message.record ? RecordFanout : ReportFanout));
+    return near;
+}
+
+void ReportSender::send(const GossipMessage &message, Scope scope)
+{
     const std::string datagram = message.encode();
-    for (const Udp::endpoint &receiver : receivers) {
+    for (const Udp::endpoint &receiver : chooseReceivers(message, scope)) {
         m_port->send(receiver, datagram);
         m_metrics.add(Counter::GossipBytesSent, datagram.size());
     }
--- a/src/process/reportsender.h
+++ b/src/process/reportsender.h
@@ -39,6 +39,11 @@
     static constexpr Duration FarReportInterval = std::chrono::seconds(2);
     /** Receivers of one report, chosen at random when there are more daemons. */
     static constexpr size_t ReportFanout = 16;
+    /**
+     * Most receivers in other regions of a report without news of crashes: work goes there only when the own region has no room, and
+     * traffic between regions is billed by volume.
+     */
+    static constexpr size_t OtherRegionFanout = 2;
 
     /** @param directory  outlives this object. @param metrics  outlives this object */
     ReportSender(asio::io_context &loop, const VmDirectory &directory, Metrics &metrics);
@@ -59,6 +64,7 @@
     enum class Scope { DataCentre, Region, All };
 
     bool isWithin(Scope scope, const VmRecord &record) const;
+    std::vector<Udp::endpoint> chooseReceivers(const GossipMessage &message, Scope scope);
     void send(const GossipMessage &message, Scope scope);
 
     asio::io_context &m_loop;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -178,9 +178,9 @@
     Task<MaybeResponse> handlePeer(HttpRequest message, CancellationPtr cancellation)
     {
         const std::string_view path(message.target().data(), message.target().size());
-        if (path == PeerCodec::StatePath || path == PeerCodec::RecordPath) {
+        if (const auto part = fromName<StatePart>(path)) {
             HttpResponse state(http::status::ok, 11);
-            state.body() = m_sync.encodeState(path == PeerCodec::StatePath ? StatePart::All : StatePart::OwnRecord);
+            state.body() = m_sync.encodeState(*part);
             state.prepare_payload();
             co_return state;
         }
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -265,14 +265,19 @@
     CHECK(vms[1].backend->ran.size() == before);
 }
 
-TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.callForOneRecord.bringsNoRoutes")
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.callForAPartOfTheState.bringsNoMore")
 {
-    // Guards against routes that cross the link between regions once for each datagram with a changed record that was lost.
+    // Guards against routes that cross the link between regions once for each datagram with a changed record that was lost, and against
+    // the records of 300 VMs that cross it once for each daemon that is behind after a change of the configuration.
     REQUIRE(servesLookups());
     const HttpResponse record = send(vms[1].peer, HttpRequest(http::verb::get, "/carobjunction/record", 11));
     REQUIRE(record.result_int() == 200);
     CHECK(Json::parse(record.body())["routes"] == "");
     CHECK(Json::parse(record.body())["vms"].size() == 1);
+    const HttpResponse routes = send(vms[1].peer, HttpRequest(http::verb::get, "/carobjunction/routes", 11));
+    REQUIRE(routes.result_int() == 200);
+    CHECK(Json::parse(routes.body())["routes"].get<std::string>().find("/order/") != std::string::npos);
+    CHECK(Json::parse(routes.body())["vms"].empty());
     const HttpResponse all = send(vms[1].peer, HttpRequest(http::verb::get, "/carobjunction/state", 11));
     CHECK(Json::parse(all.body())["routes"].get<std::string>().find("/order/") != std::string::npos);
     CHECK(Json::parse(all.body())["vms"].size() == 2);
--- a/tests/process/reportsendertest.cpp
+++ b/tests/process/reportsendertest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+
 using namespace carobjunction;
 using namespace std::chrono_literals;
 
@@ -150,3 +152,31 @@
     runFor(ReportSender::RecordSendInterval * 2);
     CHECK(self.received.empty());
 }
+
+TEST_CASE_METHOD(ReportSenderFixture, "ReportSender.manyDaemonsInAnotherRegion.fewGetTheLoad")
+{
+    // Guards against load reports that use up the link between regions at 300 VMs: each daemon heard of a far one too seldom to use it.
+    constexpr size_t FarDaemons = 10;
+    constexpr size_t Reports = 5;
+    std::vector<std::unique_ptr<Listener>> listeners;
+    for (size_t i = 0; i < FarDaemons; ++i) {
+        listeners.push_back(std::make_unique<Listener>(loop));
+        directory.merge(recordOf("south-" + std::to_string(i), "south", listeners.back()->address));
+    }
+    const auto received = [&] {
+        size_t count = far.received.size();
+        for (const auto &listener : listeners) {
+            count += listener->received.size();
+        }
+        return count;
+    };
+    runFor(ReportSender::RecordSendInterval * 3);
+    const size_t farBefore = received();
+    const size_t nearBefore = near.received.size();
+    for (size_t i = 0; i < Reports; ++i) {
+        reports.reportNow();
+        runFor(10ms);
+    }
+    CHECK(received() - farBefore == Reports * 2);
+    CHECK(near.received.size() - nearBefore == Reports);
+}
