--- a/cli/logstory.cpp
+++ b/cli/logstory.cpp
@@ -21,6 +21,7 @@
 constexpr int RequestEvents = 2000;
 constexpr int TargetEvents = 3000;
 constexpr int MembershipEvents = 4000;
+constexpr const char *NoTarget = "no-target";
 constexpr int ConfigurationEvents = 5000;
 
 std::optional<milliseconds> parseTime(std::string_view text)
@@ -85,6 +86,23 @@
     return isOfBackend || isOfDaemon;
 }
 
+/** @return the last state of each target of the service that the daemon logged up to @p until: why a request found no target */
+std::vector<LogLine> lastStates(const DaemonLog &log, const std::string &service, milliseconds until)
+{
+    std::map<std::string, LogLine> last;
+    for (const LogLine &line : log.lines) {
+        const bool isOfTarget = line.event >= TargetEvents && line.event < MembershipEvents;
+        if (isOfTarget && line.field("service") == service && line.time <= until) {
+            last[line.field("backend")] = line;
+        }
+    }
+    std::vector<LogLine> states;
+    for (const auto &[backend, line] : last) {
+        states.push_back(line);
+    }
+    return states;
+}
+
 /** Finds clocks that are ahead: an entry's line about an attempt can't be older than the target's daemon's line about it. */
 void findClocks(const std::vector<StoryStep> &steps, RequestStory &story)
 {
@@ -167,11 +185,15 @@
     RequestStory story;
     std::set<std::string> backends;
     std::set<std::string> daemons;
+    std::string unservedService; // of a request that found no target
     for (const DaemonLog &log : logs) {
         for (const LogLine &line : log.lines) {
             if (line.field("request") == requestId) {
                 story.steps.push_back({ log.daemon, line, false });
                 backends.insert(line.field("backend"));
+                if (line.field("reason") == NoTarget && !line.field("service").empty()) {
+                    unservedService = line.field("service");
+                }
                 daemons.insert(log.daemon);
             }
         }
@@ -186,6 +208,7 @@
     };
     const auto [first, last] = std::minmax_element(story.steps.begin(), story.steps.end(), byTime);
     const milliseconds from = first->line.time - ContextTime;
+    const milliseconds until = last->line.time;
     const milliseconds to = last->line.time + ContextTime;
     for (const DaemonLog &log : logs) {
         for (const LogLine &line : log.lines) {
@@ -194,6 +217,13 @@
             }
         }
     }
+    if (!unservedService.empty()) {
+        for (const DaemonLog &log : logs) {
+            for (const LogLine &line : lastStates(log, unservedService, until)) {
+                story.steps.push_back({ log.daemon, line, true });
+            }
+        }
+    }
     for (StoryStep &step : story.steps) {
         const auto back = story.setBack.find(step.daemon);
         step.line.time -= back == story.setBack.end() ? milliseconds(0) : back->second;
--- /dev/null
+++ b/tests/platform/platformdaemonfixture.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "platform/platformstandins.h"
+
+#include "childprocess.h"
+#include "connection/endpoints.h"
+#include "connection/httpclientpool.h"
+#include "connection/messagefields.h"
+#include "freeports.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace carobjunction::platform
+{
+
+inline nlohmann::json route(const std::string &prefix, const std::string &kind, const std::string &service, int timeoutMs = 2000)
+{
+    return { { "type", "routes" },
+             { "metadata", { { "name", "route" + prefix } } },
+             { "spec",
+               { { "host", "h.example" },
+                 { "prefix", prefix },
+                 { "kind", kind },
+                 { "timeout_ms", timeoutMs },
+                 { "aim_ms", 800 },
+                 { "priority", 1 },
+                 { "service", service },
+                 { "attempts", 2 } } } };
+}
+
+inline std::string config(int version, const std::vector<nlohmann::json> &routes)
+{
+    nlohmann::json resources = routes;
+    for (const char *service : { "ordering", "dispatch" }) {
+        resources.push_back(
+            { { "type", "services" }, { "metadata", { { "name", service } } }, { "spec", { { "health_path", "/healthz" }, { "max_connections", 260 } } } });
+    }
+    return nlohmann::json { { "version", version }, { "resources", resources } }.dump();
+}
+
+/** A daemon as a process of its own, with the backend server beside it. */
+struct Vm {
+    std::string name;
+    std::string service;
+    std::string caller;
+    std::string peer;
+    std::string ready;
+    std::string control;
+    std::string settingsFile;
+    std::string logFile; /**< Standard output and standard error of all starts of the daemon. */
+    std::unique_ptr<StandInBackend> backend;
+    std::unique_ptr<bench::ChildProcess> daemon;
+    uint64_t sequence = 0;
+};
+
+/** Two VMs: the callers are on the first, whose backend server is of another service. */
+struct PlatformDaemonFixture {
+    PlatformDaemonFixture()
+    {
+        store.put("op", "config", config(1, { route("/look/", "idempotent", "ordering"), route("/order/", "non_idempotent", "ordering") }));
+        vms.push_back(makeVm("vm-1", "dispatch"));
+        vms.push_back(makeVm("vm-2", "ordering"));
+        for (Vm &vm : vms) {
+            start(vm);
+        }
+        for (Vm &vm : vms) {
+            REQUIRE(waitFor([&] { return get(vm.ready, "/v1/readyz") == 200; }));
+            REQUIRE(beat(vm) == 200);
+        }
+    }
+
+    Vm makeVm(const std::string &name, const std::string &service)
+    {
+        Vm vm;
+        vm.name = name;
+        vm.service = service;
+        vm.backend = std::make_unique<StandInBackend>(loop, "i-" + name);
+        const auto address = [this] {
+            return "127.0.0.1:" + std::to_string(ports.next());
+        };
+        vm.caller = address();
+        vm.peer = address();
+        vm.ready = address();
+        vm.control = address();
+        vm.settingsFile = std::string(CAROBJUNCTION_BINARY_DIR) + "/platform-test-" + std::to_string(getpid()) + "-" + name + ".yaml";
+        vm.logFile = vm.settingsFile + ".log";
+        std::filesystem::remove(vm.logFile); // of an earlier test with the same process id
+        return vm;
+    }
+
+    void start(Vm &vm, const std::string &storeAddress = "")
+    {
+        std::ofstream file(vm.settingsFile);
+        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backend->address()
+             << "\ncaller-address: " << vm.caller << "\npeer-address: " << vm.peer << "\nready-address: " << vm.ready << "\noperator-address: " << vm.control
+             << "\nstore-address: " << (storeAddress.empty() ? store.address() : storeAddress) << "\nheartbeat-interval: 10s\ngrace-period: 4s\n";
+        file.close();
+        setenv("CAROBJUNCTION_NODE_FILE", vm.settingsFile.c_str(), 1);
+        vm.daemon = bench::ChildProcess::startLogged({ std::string(CAROBJUNCTION_BINARY_DIR) + "/platform/carobjunction-platformd" }, vm.logFile);
+        REQUIRE(vm.daemon != nullptr);
+    }
+
+    bool waitFor(const std::function<bool()> &condition, Duration limit = std::chrono::seconds(5))
+    {
+        const TimePoint end = SteadyClock().now() + limit;
+        while (SteadyClock().now() < end) {
+            if (condition()) {
+                return true;
+            }
+            runFor(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    void runFor(Duration time)
+    {
+        loop.restart();
+        loop.run_for(time);
+    }
+
+    /** Sends a request without waiting for its answer. */
+    std::shared_ptr<std::optional<ExchangeResult>> begin(const std::string &address, HttpRequest request, CancellationPtr cancellation = nullptr)
+    {
+        const auto result = std::make_shared<std::optional<ExchangeResult>>();
+        const auto pool = std::make_shared<HttpClientPool>(loop, toEndpoint(address).value(), PoolLimits {});
+        const auto cancel = cancellation ? cancellation : std::make_shared<Cancellation>();
+        ExchangeOptions options;
+        options.deadline = SteadyClock().now() + std::chrono::seconds(8);
+        request.set(http::field::host, "h.example");
+        request.prepare_payload();
+        asio::co_spawn(
+            loop, [result, pool, request, options, cancel]() -> Task<void> { *result = co_await pool->exchange(request, options, cancel); }, asio::detached);
+        return result;
+    }
+
+    HttpResponse send(const std::string &address, const HttpRequest &request)
+    {
+        const auto result = begin(address, request);
+        if (!waitFor([&] { return result->has_value(); }, std::chrono::seconds(9)) || (*result)->end != ExchangeEnd::Answered) {
+            return HttpResponse(static_cast<http::status>(0), 11);
+        }
+        return (*result)->response;
+    }
+
+    unsigned get(const std::string &address, const std::string &path)
+    {
+        return send(address, HttpRequest(http::verb::get, path, 11)).result_int();
+    }
+
+    HttpRequest request(http::verb method, const std::string &path)
+    {
+        HttpRequest message(method, path, 11);
+        message.set("X-Attempt-Id", "a" + std::to_string(++lastRequest));
+        message.set("X-Deadline-Ms", "3000");
+        message.set("X-Caller-Service", "forged");
+        return message;
+    }
+
+    HttpResponse call(http::verb method, const std::string &path)
+    {
+        return send(vms[0].caller, request(method, path));
+    }
+
+    unsigned beat(Vm &vm, const std::string &state = "ready")
+    {
+        HttpRequest message(http::verb::put, "/v1/instances/" + vm.backend->id, 11);
+        message.body() = nlohmann::json {
+            { "address", vm.backend->address() },
+            { "born", 1700000000000 },
+            { "info", { { "service", vm.service }, { "version", "v1" }, { "zone", "a" }, { "slots", 9 } } },
+            { "status", { { "state", state }, { "seq", ++vm.sequence }, { "cold_remaining_ms", 0 } } }
+        }.dump();
+        return send(vm.control, message).result_int();
+    }
+
+    bool servesLookups()
+    {
+        return waitFor([&] { return call(http::verb::get, "/look/1").result_int() == 200; });
+    }
+
+    asio::io_context loop { 1 };
+    bench::FreePorts ports;
+    StandInTableStore store { loop };
+    std::vector<Vm> vms;
+    int lastRequest = 0;
+};
+
+} // namespace carobjunction::platform
--- a/tests/process/commandlinetest.cpp
+++ b/tests/process/commandlinetest.cpp
@@ -1,11 +1,8 @@
 #include "../../tools/standin-store/standinserver.h"
+#include "commandlinetool.h"
 
 #include <catch2/catch.hpp>
 
-#include <sys/wait.h>
-
-#include <array>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
@@ -14,26 +11,6 @@
 namespace
 {
 
-struct RunResult {
-    int exitCode = -1;
-    std::string output; /**< Standard output and standard error. */
-};
-
-/** Runs the built tool. @param arguments  words for the shell */
-RunResult run(const std::string &arguments)
-{
-    RunResult result;
-    FILE *pipe = popen((std::string(CAROBJUNCTION_BINARY_DIR) + "/cli/carobjunction " + arguments + " 2>&1").c_str(), "r");
-    REQUIRE(pipe != nullptr);
-    std::array<char, 4096> buffer {};
-    while (const size_t count = std::fread(buffer.data(), 1, buffer.size(), pipe)) {
-        result.output.append(buffer.data(), count);
-    }
-    const int status = pclose(pipe);
-    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return result;
-}
-
 /** Serves until it goes out of scope. */
 template<typename Server>
 class ServerThread
