--- a/src/process/settingsparser.cpp
+++ b/src/process/settingsparser.cpp
@@ -192,24 +192,11 @@
 
 SettingsResult SettingsParser::parse(std::string_view text, const std::string &file)
 {
-    SettingsResult result;
-    const auto root = YamlNode::parse(text, file, result.faults);
-    if (!root) {
-        return result;
-    }
-    Settings settings;
-    YamlChecker checker(file, result.faults);
-    readMapping(checker, *root, "", settingsRules(), settings);
-    if (root->kind == YamlNode::Kind::Mapping) {
-        checkPeerSecurity(checker, *root, settings);
-        checkAddresses(checker, *root, settings);
-        checkTimes(checker, *root, settings);
-    }
-    checker.sortFaults();
-    if (result.faults.empty()) {
-        result.settings = std::move(settings);
-    }
-    return result;
+    return parseSettings(text, file, settingsRules(), [](YamlChecker &checker, const YamlNode &root, const Settings &settings) {
+        checkPeerSecurity(checker, root, settings);
+        checkAddresses(checker, root, settings);
+        checkTimes(checker, root, settings);
+    });
 }
 
 std::vector<KeyDescription> SettingsParser::keys()
--- a/src/process/settingsparser.h
+++ b/src/process/settingsparser.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <carobjunction/version/configfault.h>
 #include <carobjunction/version/keydescription.h>
 
 #include "process/settings.h"
+#include "version/parsedsettings.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,11 +12,8 @@
 namespace carobjunction
 {
 
-/** Result of parsing a settings file: settings, or at least one fault. */
-struct SettingsResult {
-    std::optional<Settings> settings; /**< Empty if there are faults. */
-    std::vector<ConfigFault> faults; /**< All faults of the file, in the order of their lines. */
-};
+/** Result of SettingsParser. */
+using SettingsResult = ParsedSettings<Settings>;
 
 /** Reads the settings of a daemon from YAML. */
 class SettingsParser
--- a/src/process/vmsettings.cpp
+++ b/src/process/vmsettings.cpp
@@ -67,19 +67,7 @@
 
 VmSettingsResult VmSettingsParser::parse(std::string_view text, const std::string &file)
 {
-    VmSettingsResult result;
-    const auto root = YamlNode::parse(text, file, result.faults);
-    if (!root) {
-        return result;
-    }
-    VmSettings settings;
-    YamlChecker checker(file, result.faults);
-    readMapping(checker, *root, "", rules(), settings);
-    checker.sortFaults();
-    if (result.faults.empty()) {
-        result.settings = std::move(settings);
-    }
-    return result;
+    return parseSettings(text, file, rules(), [](YamlChecker &, const YamlNode &, const VmSettings &) {});
 }
 
 std::vector<KeyDescription> VmSettingsParser::keys()
--- a/src/process/vmsettings.h
+++ b/src/process/vmsettings.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include <carobjunction/process/clock.h>
-#include <carobjunction/version/configfault.h>
 #include <carobjunction/version/keydescription.h>
 
 #include "process/eventlog.h"
+#include "version/parsedsettings.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,11 +36,8 @@
     uint32_t maxDescriptors = 4096; /**< Descriptors that the process may open. */
 };
 
-/** Settings read from a file, or the faults found. */
-struct VmSettingsResult {
-    std::optional<VmSettings> settings; /**< Empty if there are faults. */
-    std::vector<ConfigFault> faults;
-};
+/** Result of VmSettingsParser. */
+using VmSettingsResult = ParsedSettings<VmSettings>;
 
 /** Reads the settings of the daemon beside one backend server. */
 class VmSettingsParser
--- a/src/version/yamlchecker.h
+++ b/src/version/yamlchecker.h
@@ -4,6 +4,7 @@
 #include <carobjunction/version/configfault.h>
 #include <carobjunction/version/keydescription.h>
 
+#include "version/parsedsettings.h"
 #include "version/valuetext.h"
 #include "version/yamlnode.h"
 
@@ -261,4 +262,29 @@
              withPrefix(name + ".", describe(rules)) };
 }
 
+/**
+ * Reads a settings file.
+ * @param check  called with checker, root and settings of a file that is a mapping, for rules over several keys
+ */
+template<typename Settings, typename Check>
+ParsedSettings<Settings> parseSettings(std::string_view text, const std::string &file, const std::vector<KeyRule<Settings>> &rules, const Check &check)
+{
+    ParsedSettings<Settings> result;
+    const auto root = YamlNode::parse(text, file, result.faults);
+    if (!root) {
+        return result;
+    }
+    Settings settings;
+    YamlChecker checker(file, result.faults);
+    readMapping(checker, *root, "", rules, settings);
+    if (root->kind == YamlNode::Kind::Mapping) {
+        check(checker, *root, settings);
+    }
+    checker.sortFaults();
+    if (result.faults.empty()) {
+        result.settings = std::move(settings);
+    }
+    return result;
+}
+
 } // namespace carobjunction
