Take the callers' shares out of AdmissionController

Change: CallerShares counts the places that callers hold and answers whether one has used up its share; tests of its own.

Measured: CallerShares.* and AdmissionController.*, 30 assertions in 11 cases, passed.

--- a/include/carobjunction/process/admissioncontroller.h
+++ b/include/carobjunction/process/admissioncontroller.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <carobjunction/process/admission.h>
+#include <carobjunction/process/callershares.h>
 #include <carobjunction/process/concurrencylimit.h>
 #include <carobjunction/process/servicetimeestimate.h>
 
 #include <algorithm>
-#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -145,7 +145,7 @@
         if (m_exclusive == ticket) {
             m_exclusive = 0;
         }
-        releaseCaller(running->second.caller);
+        m_callers.release(running->second.caller);
         m_running.erase(running);
         return grant();
     }
@@ -261,7 +261,7 @@
     {
         const AdmissionTicket ticket = ++m_lastTicket;
         start(ticket, request);
-        ++m_callers[request.caller];
+        m_callers.take(request.caller);
         return { AdmissionVerdict::Admitted, Reason::None, ticket, makeReport() };
     }
 
@@ -286,7 +286,7 @@
         if (cannotFinish(request, predictedWait())) {
             return refused(Reason::DeadlineTooShort);
         }
-        if (isOverFairShare(request.caller)) {
+        if (m_callers.isExhausted(request.caller, places())) {
             return refused(Reason::CallerShare);
         }
         if (m_queue.size() >= m_limits.queue && !evictFor(request, changes)) {
@@ -294,29 +294,17 @@
         }
         const AdmissionTicket ticket = ++m_lastTicket;
         m_queue.push_back({ ticket, request });
-        ++m_callers[request.caller];
+        m_callers.take(request.caller);
         if (request.suspect) {
             m_exclusive = ticket;
         }
         return { AdmissionVerdict::Queued, Reason::None, ticket, makeReport() };
     }
 
-    // Slots and queue places that one caller may hold while others hold some as well.
-    uint32_t fairShare(const std::string &caller) const
+    /** @return slots and queue places */
+    uint32_t places() const
     {
-        const size_t callers = m_callers.size() + (m_callers.contains(caller) ? 0 : 1);
-        return std::max<uint32_t>(1, (m_limits.slots + m_limits.queue) / static_cast<uint32_t>(callers));
-    }
-
-    uint32_t held(const std::string &caller) const
-    {
-        const auto found = m_callers.find(caller);
-        return found == m_callers.end() ? 0 : found->second;
-    }
-
-    bool isOverFairShare(const std::string &caller) const
-    {
-        return m_callers.size() + (m_callers.contains(caller) ? 0 : 1) > 1 && held(caller) >= fairShare(caller);
+        return m_limits.slots + m_limits.queue;
     }
 
     // A full queue gives the last place of the caller that holds most above its share, or the last place of a lower priority.
@@ -325,7 +313,7 @@
         auto victim = m_queue.end();
         for (auto candidate = m_queue.begin(); candidate != m_queue.end(); ++candidate) {
             const bool lowerPriority = candidate->request.priority > request.priority;
-            const bool overShare = candidate->request.caller != request.caller && held(candidate->request.caller) > fairShare(request.caller);
+            const bool overShare = candidate->request.caller != request.caller && m_callers.held(candidate->request.caller) > m_callers.fairShare(request.caller, places());
             if ((lowerPriority || overShare) && !candidate->request.suspect && (victim == m_queue.end() || isBefore(*victim, *candidate))) {
                 victim = candidate;
             }
@@ -334,7 +322,7 @@
             return false;
         }
         changes.refused.push_back({ victim->ticket, Reason::CallerShare });
-        releaseCaller(victim->request.caller);
+        m_callers.release(victim->request.caller);
         m_queue.erase(victim);
         return true;
     }
@@ -418,21 +406,13 @@
 
     auto eraseQueued(std::vector<detail::QueuedRequest>::iterator queued)
     {
-        releaseCaller(queued->request.caller);
+        m_callers.release(queued->request.caller);
         if (m_exclusive == queued->ticket) {
             m_exclusive = 0;
         }
         return m_queue.erase(queued);
     }
 
-    void releaseCaller(const std::string &caller)
-    {
-        const auto found = m_callers.find(caller);
-        if (found != m_callers.end() && --found->second == 0) {
-            m_callers.erase(found);
-        }
-    }
-
     void learn(const detail::RunningRequest &running, CompletionKind kind)
     {
         switch (kind) {
@@ -508,7 +488,7 @@
     uint64_t m_reportSequence;
     std::unordered_map<AdmissionTicket, detail::RunningRequest> m_running;
     std::vector<detail::QueuedRequest> m_queue;
-    std::map<std::string, uint32_t> m_callers; /**< Slots and queue places held by each caller. */
+    CallerShares m_callers; /**< Slots and queue places held. */
 };
 
 } // namespace carobjunction
