Forget lost VMs whose address another VM has now

A VM was lost, a new one got its address, and entries went on sending requests for the lost VM there. The new one refused each, which proves that nothing ran and so was no failure; the lost one looked alive and idle.

Change: a datagram is a sign of life of its sender at its address; VMs known at the same address are forgotten at once. A record with a daemon's own address is not taken. Event 4005 names address and reason.

Tests that failed first: PlatformDaemon.newVmAtTheAddressOfALostOne (refused with wrong-service before), VmDirectory.addressThatIsUsedAgain is new.

--- a/include/carobjunction/process/admissioncontroller.h
+++ b/include/carobjunction/process/admissioncontroller.h
@@ -313,7 +313,8 @@
         auto victim = m_queue.end();
         for (auto candidate = m_queue.begin(); candidate != m_queue.end(); ++candidate) {
             const bool lowerPriority = candidate->request.priority > request.priority;
-            const bool overShare = candidate->request.caller != request.caller && m_callers.held(candidate->request.caller) > m_callers.fairShare(request.caller, places());
+            const bool overShare
+                = candidate->request.caller != request.caller && m_callers.held(candidate->request.caller) > m_callers.fairShare(request.caller, places());
             if ((lowerPriority || overShare) && !candidate->request.suspect && (victim == m_queue.end() || isBefore(*victim, *candidate))) {
                 victim = candidate;
             }
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -87,6 +87,9 @@
     /** Forgets a VM. @return whether it was known with this incarnation or an earlier one */
     bool remove(const std::string &daemon, uint64_t incarnation);
 
+    /** @return records of VMs other than @p daemon that name this address. An address is used again after its VM is gone. */
+    std::vector<VmRecord> othersAt(const std::string &address, const std::string &daemon) const;
+
     /** Takes a load report of a VM. */
     void onReport(const std::string &daemon, const TargetReport &report, TimePoint now);
 
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -288,17 +288,25 @@
             }
         }
         for (const VmRecord &record : missing) {
-            forgetVm(record.daemon, record.incarnation);
+            forgetVm(record.daemon, record.incarnation, "no row and no sign of life");
         }
     }
 
-    void forgetVm(const std::string &daemon, uint64_t incarnation)
+    void forgetVm(const std::string &daemon, uint64_t incarnation, const char *reason)
     {
         const VmView *vm = m_directory.find(daemon);
         const std::string address = vm == nullptr ? "" : vm->record.address;
         if (m_directory.remove(daemon, incarnation)) {
             m_peers.forget(address);
-            EventLog::write(LogLevel::Info, Event::MemberRemoved, { { "daemon", daemon } });
+            EventLog::write(LogLevel::Info, Event::MemberRemoved, { { "daemon", daemon }, { "address", address }, { "reason", reason } });
+        }
+    }
+
+    /** Forgets lost VMs whose address a living daemon has now. Their records stay in the store and may be read again. */
+    void forgetOthersAt(const std::string &address, const std::string &living)
+    {
+        for (const VmRecord &record : m_directory.othersAt(address, living)) {
+            forgetVm(record.daemon, record.incarnation, "its address is used again");
         }
     }
 
@@ -332,6 +340,9 @@
 
     void takeVm(const VmRecord &record, const char *source)
     {
+        if (record.address == m_record.address) {
+            return; // of a lost VM whose address this one has now
+        }
         if (m_directory.merge(record)) {
             EventLog::write(LogLevel::Info,
                             Event::MemberChanged,
@@ -453,6 +464,7 @@
         if (message->record && message->record->daemon == message->daemon) {
             takeVm(*message->record, "datagram");
         }
+        forgetOthersAt(message->peerAddress, message->daemon);
         m_directory.onAlive(message->daemon);
         m_directory.onReport(message->daemon, message->report, now);
         for (const CrashReport &crash : message->crashes) {
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -62,6 +62,17 @@
     return true;
 }
 
+std::vector<VmRecord> VmDirectory::othersAt(const std::string &address, const std::string &daemon) const
+{
+    std::vector<VmRecord> others;
+    for (const auto &[other, vm] : m_vms) {
+        if (other != daemon && vm.record.address == address) {
+            others.push_back(vm.record);
+        }
+    }
+    return others;
+}
+
 void VmDirectory::onReport(const std::string &daemon, const TargetReport &report, TimePoint now)
 {
     const auto found = m_vms.find(daemon);
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -109,6 +109,24 @@
     CHECK(vms[1].backend->ran.size() == before);
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.newVmAtTheAddressOfALostOne.getsNoWorkForTheLostOne")
+{
+    // Guards against entries that send requests for a lost VM to the VM that has its address now, which refuses each of them: on
+    // inc-6afb of epistrofi-mesh 4,000 of 14,000 hops went that way, since the lost VM seemed never full and never failed a request.
+    REQUIRE(servesLookups());
+    vms[1].daemon->kill();
+    Vm successor = makeVm("vm-3", "dispatch");
+    successor.peer = vms[1].peer;
+    start(successor);
+    REQUIRE(waitFor([&] { return get(successor.ready, "/v1/readyz") == 200; }));
+    REQUIRE(beat(successor) == 200);
+    runFor(1s);
+    CHECK(call(http::verb::get, "/look/1").result_int() == 503);
+    std::ifstream log(successor.logFile);
+    const std::string text { std::istreambuf_iterator<char>(log), {} };
+    CHECK(text.find("reason=wrong-service") == std::string::npos);
+}
+
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.newVersion.isInForceEverywhereAndNeverGoesBack")
 {
     REQUIRE(servesLookups());
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -119,6 +119,23 @@
     CHECK(choose(TargetScope::Anywhere, {}, true) == std::nullopt);
 }
 
+TEST_CASE("VmDirectory.addressThatIsUsedAgain.namesTheVmsThatHadItBefore")
+{
+    VmDirectory directory("self", { "pil-a", "pilbara" });
+    const auto at = [](const std::string &daemon, const std::string &address) {
+        VmRecord record = vm(daemon, "pil-a", "pilbara");
+        record.address = address;
+        return record;
+    };
+    directory.merge(at("lost", "10.0.0.1:1"));
+    directory.merge(at("other", "10.0.0.2:1"));
+    directory.merge(at("new", "10.0.0.1:1"));
+    const std::vector<VmRecord> former = directory.othersAt("10.0.0.1:1", "new");
+    REQUIRE(former.size() == 1);
+    CHECK(former.front().daemon == "lost");
+    CHECK(directory.othersAt("10.0.0.2:1", "other").empty());
+}
+
 TEST_CASE("VmDirectory.recordsInAnyOrder.endWithTheNewest")
 {
     CHECK(rc::check([](std::vector<std::pair<uint8_t, uint8_t>> versions) {
