Take the later written one of two VM rows with one address

Change: supersededRows() finds the rows to pass over, by the store's versions, since clocks differ.

Rows of lost VMs stay in the store; open.

--- a/cli/logstory.cpp
+++ b/cli/logstory.cpp
@@ -21,8 +21,8 @@
 constexpr int RequestEvents = 2000;
 constexpr int TargetEvents = 3000;
 constexpr int MembershipEvents = 4000;
-constexpr const char *NoTarget = "no-target";
 constexpr int ConfigurationEvents = 5000;
+constexpr const char *NoTarget = "no-target"; // reason
 
 std::optional<milliseconds> parseTime(std::string_view text)
 {
@@ -97,6 +97,7 @@
         }
     }
     std::vector<LogLine> states;
+    states.reserve(last.size());
     for (const auto &[backend, line] : last) {
         states.push_back(line);
     }
--- a/include/carobjunction/process/routescatchup.h
+++ b/include/carobjunction/process/routescatchup.h
@@ -11,7 +11,7 @@
 
 /**
  * Decides which daemon is asked for newer routes, and when. Answers to a pattern seen at 300 VMs: a change reaches some daemons first, all others
- * hear of it from any of them, and when all ask at once the copies fill the link between the regions and delay the change itself. So the
+ * hear of it from any of them, and when all ask at once, their copies share the link between the regions with the change itself. So the
  * store goes first, then a daemon of the own region, and only then one of another region. Not thread-safe.
  */
 class RoutesCatchUp
--- a/include/carobjunction/process/servicetimeestimate.h
+++ b/include/carobjunction/process/servicetimeestimate.h
@@ -23,7 +23,7 @@
         m_baseline = Duration::zero();
     }
 
-    /** @param duration  time that an answered request took */
+    /** Takes a request that was answered at @p now. @param duration  time that it took */
     void onCompletion(Duration duration, TimePoint now)
     {
         m_lastCompletion = now;
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -15,6 +15,7 @@
 #include "process/reportsender.h"
 #include "process/tablestore.h"
 #include "process/vmrecordcodec.h"
+#include "process/vmrows.h"
 #include "process/vmsettings.h"
 
 #include <nlohmann/json.hpp>
@@ -272,10 +273,13 @@
 
     void takeVmRows(const TableRows &rows)
     {
+        const std::set<std::string> superseded = supersededRows(rows);
         std::set<std::string> present;
         for (const TableRow &row : rows.rows) {
-            present.insert(row.key);
-            takeVmRow(row);
+            if (superseded.count(row.key) == 0 || m_directory.isSelf(row.key)) {
+                present.insert(row.key);
+                takeVmRow(row);
+            }
         }
         if (present.count(m_record.daemon) == 0) {
             m_recall(nullptr);
@@ -302,7 +306,7 @@
         }
     }
 
-    /** Forgets lost VMs whose address a living daemon has now. Their records stay in the store and may be read again. */
+    /** Forgets lost VMs whose address a living daemon has now. A peer may still tell of them. */
     void forgetOthersAt(const std::string &address, const std::string &living)
     {
         for (const VmRecord &record : m_directory.othersAt(address, living)) {
--- a/src/process/gossiplinks.h
+++ b/src/process/gossiplinks.h
@@ -49,6 +49,7 @@
     {
     }
 
+    /** Takes the neighbours that follow from the present view. Links that stay keep what they know. */
     void refresh()
     {
         const uint64_t sequence = m_context.view.sequence();
@@ -117,6 +118,7 @@
         return found;
     }
 
+    /** @return what the neighbour has not been sent yet */
     GossipNews newsFor(const GossipLink &link)
     {
         GossipNews outgoing;
@@ -143,6 +145,7 @@
         return outgoing;
     }
 
+    /** @return the links of the own region, or those to other regions, in turn; null if there is none */
     GossipLinkPointer next(bool isRemote)
     {
         refresh();
--- a/src/process/gossipmessenger.h
+++ b/src/process/gossipmessenger.h
@@ -29,6 +29,7 @@
     {
     }
 
+    /** Adds an entry to a message, unless the message is full. */
     template<typename Message>
     void addMember(Message &message, const Member &member) const
     {
@@ -37,6 +38,11 @@
         }
     }
 
+    /**
+     * Takes entries of another daemon. Those that are not valid have no effect.
+     * @param isNews  set if one of them changed the view
+     * @return entries that are newer here
+     */
     template<typename Entries>
     std::vector<MemberPointer> mergeMembers(const Entries &entries, const std::string &source, bool &isNews)
     {
@@ -55,6 +61,7 @@
         return std::move(result.corrections);
     }
 
+    /** Takes suspects of another daemon. @return whether one was news */
     template<typename Entries>
     bool mergeSuspects(const Entries &entries)
     {
@@ -91,6 +98,7 @@
         return answer;
     }
 
+    /** Takes contents of configurations, and asks in @p response for those that were only named. @param isNews  set if one is newer */
     template<typename Entries>
     void takeConfigs(const Entries &entries, v1::ExchangeResponse &response, bool &isNews)
     {
@@ -103,6 +111,7 @@
         }
     }
 
+    /** Adds the configurations of these services to a message, as far as its limit of bytes allows. */
     template<typename Message>
     void addConfigs(const google::protobuf::RepeatedPtrField<std::string> &services, Message &message) const
     {
@@ -123,6 +132,7 @@
         return m_context.clock.now() - m_lastAnswer > 3 * m_context.options.interval;
     }
 
+    /** @return a random number from 0 up to @p bound, without it */
     uint64_t randomBelow(uint64_t bound)
     {
         const std::lock_guard lock(m_mutex);
--- a/src/process/peerchecker.h
+++ b/src/process/peerchecker.h
@@ -37,6 +37,7 @@
         m_context.wake();
     }
 
+    /** @return daemons to check now, at most two */
     std::vector<std::string> takeChecks()
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/process/routescatchuptest.cpp
+++ b/tests/process/routescatchuptest.cpp
@@ -19,7 +19,7 @@
 
 TEST_CASE_METHOD(CatchUpFixture, "RoutesCatchUp.changeHeardFromAnotherRegion.isFetchedInTheOwnRegion")
 {
-    // Guards against daemons that all fetch a change over the link between the regions, which delayed the change itself at 300 VMs.
+    // Guards against daemons that all fetch a change over the link between the regions, as seen at 300 VMs.
     catchUp.onAhead({ "far", 7, false }, clock.now());
     clock.advance(800ms);
     CHECK_FALSE(catchUp.source(clock.now()));
