Show a line once in the story of a request without a target

Cause: the last state of each target of the service was added to the story after the context, so a target that the request had met stood there twice. The name of the reason was written out beside its table.

Change: one pass picks the context and the last states; nameOf(Reason::NoTarget) in place of a constant.

Measured: Explain.requestWithoutATarget showed "target-leaving" twice before, once now. Explain.* passed.

--- a/cli/logstory.cpp
+++ b/cli/logstory.cpp
@@ -1,5 +1,7 @@
 #include "logstory.h"
 
+#include <carobjunction/request/reason.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -22,7 +24,6 @@
 constexpr int TargetEvents = 3000;
 constexpr int MembershipEvents = 4000;
 constexpr int ConfigurationEvents = 5000;
-constexpr const char *NoTarget = "no-target"; // reason
 
 std::optional<milliseconds> parseTime(std::string_view text)
 {
@@ -86,20 +87,19 @@
     return isOfBackend || isOfDaemon;
 }
 
-/** @return the last state of each target of the service that the daemon logged up to @p until: why a request found no target */
-std::vector<LogLine> lastStates(const DaemonLog &log, const std::string &service, milliseconds until)
+/** @return the last line on each target of the service that the daemon logged up to @p until: why a request found no target */
+std::set<const LogLine *> lastStates(const DaemonLog &log, const std::string &service, milliseconds until)
 {
-    std::map<std::string, LogLine> last;
+    std::map<std::string, const LogLine *> last;
     for (const LogLine &line : log.lines) {
         const bool isOfTarget = line.event >= TargetEvents && line.event < MembershipEvents;
         if (isOfTarget && line.field("service") == service && line.time <= until) {
-            last[line.field("backend")] = line;
+            last[line.field("backend")] = &line;
         }
     }
-    std::vector<LogLine> states;
-    states.reserve(last.size());
+    std::set<const LogLine *> states;
     for (const auto &[backend, line] : last) {
-        states.push_back(line);
+        states.insert(line);
     }
     return states;
 }
@@ -192,7 +192,7 @@
             if (line.field("request") == requestId) {
                 story.steps.push_back({ log.daemon, line, false });
                 backends.insert(line.field("backend"));
-                if (line.field("reason") == NoTarget && !line.field("service").empty()) {
+                if (line.field("reason") == nameOf(Reason::NoTarget) && !line.field("service").empty()) {
                     unservedService = line.field("service");
                 }
                 daemons.insert(log.daemon);
@@ -212,15 +212,10 @@
     const milliseconds until = last->line.time;
     const milliseconds to = last->line.time + ContextTime;
     for (const DaemonLog &log : logs) {
+        const std::set<const LogLine *> states = unservedService.empty() ? std::set<const LogLine *> {} : lastStates(log, unservedService, until);
         for (const LogLine &line : log.lines) {
-            if (line.time >= from && line.time <= to && isContextOf(line, log.daemon, backends, daemons)) {
-                story.steps.push_back({ log.daemon, line, true });
-            }
-        }
-    }
-    if (!unservedService.empty()) {
-        for (const DaemonLog &log : logs) {
-            for (const LogLine &line : lastStates(log, unservedService, until)) {
+            const bool isNear = line.time >= from && line.time <= to;
+            if ((isNear && isContextOf(line, log.daemon, backends, daemons)) || states.count(&line) > 0) {
                 story.steps.push_back({ log.daemon, line, true });
             }
         }
--- a/tests/process/explaintest.cpp
+++ b/tests/process/explaintest.cpp
@@ -80,6 +80,24 @@
     CHECK(story["steps"][3]["fields"]["detail"] == "End \"of\" file\t");
 }
 
+TEST_CASE_METHOD(ExplainFixture, "Explain.requestWithoutATarget.showsTheStateOfEachTargetOnce")
+{
+    // Guards against the same line twice, where a target was met by the request and is also the reason why there was none.
+    write("a.log",
+          "2026-12-04T10:00:01.050Z INFO  event=2004 name=retry-decided request=r1 daemon=b backend=i-1 outcome=not-run reason=leaving\n"
+          "2026-12-04T10:00:01.060Z INFO  event=2003 name=call-answered request=r1 service=ordering status=503 reason=no-target\n");
+    write("b.log",
+          "2026-12-04T09:00:00.000Z INFO  event=3007 name=target-down backend=i-0 service=ordering state=gone\n"
+          "2026-12-04T10:00:01.000Z INFO  event=3002 name=target-leaving backend=i-1 service=ordering state=draining\n");
+    REQUIRE(explain("r1", " --output json") == 0);
+    const Json story = Json::parse(output);
+    std::vector<std::string> names;
+    for (const Json &step : story["steps"]) {
+        names.push_back(step["name"]);
+    }
+    CHECK(names == std::vector<std::string> { "target-down", "target-leaving", "retry-decided", "call-answered" });
+}
+
 TEST_CASE_METHOD(ExplainFixture, "Explain.clockThatIsAhead.isSetBack")
 {
     // Guards against a story in which the refusal comes after the answer that it caused.
