Decode each VM row once, and let only sound rows supersede others

Cause: supersededRows() decoded all rows of the table a second time, and took rows whose key names another daemon for sound ones: such a row took the VM with the same address out of the directory, although a bad row has to leave the others in force.

Change: readVmRows() decodes the table once into records, versions, superseded rows and keys of unreadable rows. ClusterSync only takes and logs.

Measured: VmRows.rowUnderAnotherKey (as SupersededRows.* on the former function) failed before and passes now; the two former cases keep their expectations. PlatformDaemon.* passed.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -273,11 +273,14 @@
 
     void takeVmRows(const TableRows &rows)
     {
-        const std::set<std::string> superseded = supersededRows(rows);
-        std::set<std::string> present;
-        for (const TableRow &row : rows.rows) {
-            if (superseded.count(row.key) == 0 || m_directory.isSelf(row.key)) {
-                present.insert(row.key);
+        const VmRows read = readVmRows(rows);
+        std::set<std::string> present(read.unreadable.begin(), read.unreadable.end());
+        for (const std::string &key : read.unreadable) {
+            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", VmTable }, { "key", key }, { "reason", "unreadable row" } });
+        }
+        for (const VmRow &row : read.rows) {
+            if (!row.isSuperseded || m_directory.isSelf(row.record.daemon)) {
+                present.insert(row.record.daemon);
                 takeVmRow(row);
             }
         }
@@ -314,19 +317,14 @@
         }
     }
 
-    void takeVmRow(const TableRow &row)
+    void takeVmRow(const VmRow &row)
     {
-        const auto record = VmRecordCodec::decode(row.value);
-        if (!record || record->daemon != row.key) {
-            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", VmTable }, { "key", row.key }, { "reason", "unreadable row" } });
-            return;
-        }
-        if (m_directory.isSelf(row.key)) {
+        if (m_directory.isSelf(row.record.daemon)) {
             m_rowVersion = row.version;
-            takeFormer(*record);
+            takeFormer(row.record);
             return;
         }
-        takeVm(*record, "store");
+        takeVm(row.record, "store");
     }
 
     /** Takes the record that a former start of this daemon left behind. The clock may have gone back since then. */
--- a/src/process/vmrows.cpp
+++ b/src/process/vmrows.cpp
@@ -2,29 +2,31 @@
 
 #include "process/vmrecordcodec.h"
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace carobjunction
 {
 
-std::set<std::string> supersededRows(const TableRows &rows)
+VmRows readVmRows(const TableRows &table)
 {
-    std::map<std::string, const TableRow *> latest; // by address
-    std::set<std::string> superseded;
-    for (const TableRow &row : rows.rows) {
-        const auto record = VmRecordCodec::decode(row.value);
-        if (!record) {
+    VmRows result;
+    std::map<std::string, uint64_t> latest; // version by address
+    for (const TableRow &row : table.rows) {
+        auto record = VmRecordCodec::decode(row.value);
+        if (!record || record->daemon != row.key) {
+            result.unreadable.push_back(row.key);
             continue;
         }
-        const auto [found, isNew] = latest.try_emplace(record->address, &row);
-        if (isNew) {
-            continue;
-        }
-        const bool isLater = row.version > found->second->version;
-        superseded.insert(isLater ? found->second->key : row.key);
-        found->second = isLater ? &row : found->second;
+        uint64_t &version = latest[record->address];
+        version = std::max(version, row.version);
+        result.rows.push_back({ std::move(*record), row.version });
+    }
+    for (VmRow &row : result.rows) {
+        row.isSuperseded = row.version < latest[row.record.address];
     }
-    return superseded;
+    return result;
 }
 
 } // namespace carobjunction
