Take no second lock while joining, and tell what was sent in one place

Cause: Gossip::join() drew its jitter under its mutex, which takes the mutex of GossipMessenger, although the parts of Gossip hold no lock while they call another. GossipLinks asked twice in the same words whether a suspect was sent. ReportSender shuffled daemons of other regions also where all of them are receivers, before a second shuffle of everything. hostslowness.h included a header it doesn't use.

Change: the jitter is drawn first; wasSent(); the shuffle only where receivers are picked from it.

--- a/include/carobjunction/process/hostslowness.h
+++ b/include/carobjunction/process/hostslowness.h
@@ -3,7 +3,6 @@
 #include <carobjunction/process/clock.h>
 
 #include <deque>
-#include <optional>
 
 namespace carobjunction
 {
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -216,15 +216,15 @@
             m_joinFailures = 0;
             return;
         }
+        // Jitter keeps daemons that started together from asking the seeds together.
+        constexpr double LeastPart = 0.5;
+        const double jitter = m_messenger.randomBetween(LeastPart, 1);
         uint32_t failures = 0;
         {
             const std::lock_guard lock(m_mutex);
             constexpr uint32_t MaxDoublings = 3;
             failures = ++m_joinFailures;
             const Duration wait = m_context.options.interval * (1U << std::min(failures - 1, MaxDoublings));
-            // Jitter keeps daemons that started together from asking the seeds together.
-            constexpr double LeastPart = 0.5;
-            const double jitter = m_messenger.randomBetween(LeastPart, 1);
             m_joinAt = m_context.clock.now() + std::chrono::duration_cast<Duration>(wait * jitter);
         }
         EventLog::write(
--- a/src/process/gossiplinks.h
+++ b/src/process/gossiplinks.h
@@ -134,11 +134,10 @@
         }
         if (m_context.hooks.collectSuspects) {
             for (const v1::SuspectEntry &suspect : m_context.hooks.collectSuspects()) {
-                const auto [key, value] = suspectKey(suspect);
-                const auto sent = link.suspectsSent.find(key);
-                if (sent == link.suspectsSent.end() || sent->second != value) {
+                if (!wasSent(link, suspect)) {
                     *outgoing.request.add_suspects() = suspect;
                 }
+                const auto [key, value] = suspectKey(suspect);
                 outgoing.suspects[key] = value;
             }
         }
@@ -210,13 +209,16 @@
         return { stableHash(suspect.service(), suspect.fingerprint()), mixBits(suspect.revision()) ^ mixBits(suspect.state() * 65536U + suspect.crashes()) };
     }
 
+    static bool wasSent(const GossipLink &link, const v1::SuspectEntry &suspect)
+    {
+        const auto [key, value] = suspectKey(suspect);
+        const auto sent = link.suspectsSent.find(key);
+        return sent != link.suspectsSent.end() && sent->second == value;
+    }
+
     static bool hasNewSuspects(const GossipLink &link, const std::vector<v1::SuspectEntry> &suspects)
     {
-        return std::any_of(suspects.begin(), suspects.end(), [&](const v1::SuspectEntry &suspect) {
-            const auto [key, value] = suspectKey(suspect);
-            const auto sent = link.suspectsSent.find(key);
-            return sent == link.suspectsSent.end() || sent->second != value;
-        });
+        return std::any_of(suspects.begin(), suspects.end(), [&](const v1::SuspectEntry &suspect) { return !wasSent(link, suspect); });
     }
 
     const Context &m_context;
--- a/src/process/reportsender.cpp
+++ b/src/process/reportsender.cpp
@@ -103,8 +103,8 @@
             (m_directory.isSameRegion(vm.record) ? near : far).emplace_back(endpoint->address(), endpoint->port());
         }
     }
-    std::shuffle(far.begin(), far.end(), m_random);
     if (!message.record && message.crashes.empty()) {
+        std::shuffle(far.begin(), far.end(), m_random);
         far.resize(std::min(far.size(), OtherRegionFanout));
     }
     near.insert(near.end(), far.begin(), far.end());
