Share ports, configurations and heartbeats between the soak and the platform tests

Cause: both published the same configurations, sent the same heartbeats, took the same ports and wrote the same settings lines; the test of explain ran the command-line tool by its own copy of run().

Change: DaemonPorts, PublishedRoute and publishedConfig(), heartbeatBody(); explaintest uses commandlinetool.h. The soak keeps its aim of 500 ms.

--- a/tests/platform/platformdaemonfixture.h
+++ b/tests/platform/platformdaemonfixture.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "platform/daemonports.h"
 #include "platform/platformstandins.h"
+#include "platform/publishedconfig.h"
 
 #include "childprocess.h"
 #include "connection/endpoints.h"
@@ -17,39 +19,10 @@
 namespace carobjunction::platform
 {
 
-inline nlohmann::json route(const std::string &prefix, const std::string &kind, const std::string &service, int timeoutMs = 2000)
-{
-    return { { "type", "routes" },
-             { "metadata", { { "name", "route" + prefix } } },
-             { "spec",
-               { { "host", "h.example" },
-                 { "prefix", prefix },
-                 { "kind", kind },
-                 { "timeout_ms", timeoutMs },
-                 { "aim_ms", 800 },
-                 { "priority", 1 },
-                 { "service", service },
-                 { "attempts", 2 } } } };
-}
-
-inline std::string config(int version, const std::vector<nlohmann::json> &routes)
-{
-    nlohmann::json resources = routes;
-    for (const char *service : { "ordering", "dispatch" }) {
-        resources.push_back(
-            { { "type", "services" }, { "metadata", { { "name", service } } }, { "spec", { { "health_path", "/healthz" }, { "max_connections", 260 } } } });
-    }
-    return nlohmann::json { { "version", version }, { "resources", resources } }.dump();
-}
-
 /** A daemon as a process of its own, with the backend server beside it. */
-struct Vm {
+struct Vm : DaemonPorts {
     std::string name;
     std::string service;
-    std::string caller;
-    std::string peer;
-    std::string ready;
-    std::string control;
     std::string settingsFile;
     std::string logFile; /**< Standard output and standard error of all starts of the daemon. */
     std::unique_ptr<StandInBackend> backend;
@@ -59,9 +32,11 @@
 
 /** Two VMs: the callers are on the first, whose backend server is of another service. */
 struct PlatformDaemonFixture {
+    static constexpr int64_t BornMs = 1'700'000'000'000;
+
     PlatformDaemonFixture()
     {
-        store.put("op", "config", config(1, { route("/look/", "idempotent", "ordering"), route("/order/", "non_idempotent", "ordering") }));
+        store.put("op", "config", publishedConfig(1, { { "/look/", "idempotent", "ordering" }, { "/order/", "non_idempotent", "ordering" } }));
         vms.push_back(makeVm("vm-1", "dispatch"));
         vms.push_back(makeVm("vm-2", "ordering"));
         for (Vm &vm : vms) {
@@ -79,13 +54,7 @@
         vm.name = name;
         vm.service = service;
         vm.backend = std::make_unique<StandInBackend>(loop, "i-" + name);
-        const auto address = [this] {
-            return "127.0.0.1:" + std::to_string(ports.next());
-        };
-        vm.caller = address();
-        vm.peer = address();
-        vm.ready = address();
-        vm.control = address();
+        vm.takePorts(ports);
         vm.settingsFile = std::string(CAROBJUNCTION_BINARY_DIR) + "/platform-test-" + std::to_string(getpid()) + "-" + name + ".yaml";
         vm.logFile = vm.settingsFile + ".log";
         std::filesystem::remove(vm.logFile); // of an earlier test with the same process id
@@ -95,9 +64,9 @@
     void start(Vm &vm, const std::string &storeAddress = "")
     {
         std::ofstream file(vm.settingsFile);
-        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backend->address()
-             << "\ncaller-address: " << vm.caller << "\npeer-address: " << vm.peer << "\nready-address: " << vm.ready << "\noperator-address: " << vm.control
-             << "\nstore-address: " << (storeAddress.empty() ? store.address() : storeAddress) << "\nheartbeat-interval: 10s\ngrace-period: 4s\n";
+        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backend->address() << "\n"
+             << vm.settings() << "store-address: " << (storeAddress.empty() ? store.address() : storeAddress)
+             << "\nheartbeat-interval: 10s\ngrace-period: 4s\n";
         file.close();
         setenv("CAROBJUNCTION_NODE_FILE", vm.settingsFile.c_str(), 1);
         vm.daemon = bench::ChildProcess::startLogged({ std::string(CAROBJUNCTION_BINARY_DIR) + "/platform/carobjunction-platformd" }, vm.logFile);
@@ -168,12 +137,7 @@
     unsigned beat(Vm &vm, const std::string &state = "ready")
     {
         HttpRequest message(http::verb::put, "/v1/instances/" + vm.backend->id, 11);
-        message.body() = nlohmann::json {
-            { "address", vm.backend->address() },
-            { "born", 1700000000000 },
-            { "info", { { "service", vm.service }, { "version", "v1" }, { "zone", "a" }, { "slots", 9 } } },
-            { "status", { { "state", state }, { "seq", ++vm.sequence }, { "cold_remaining_ms", 0 } } }
-        }.dump();
+        message.body() = heartbeatBody(vm.backend->address(), BornMs, vm.service, state, ++vm.sequence);
         return send(vm.control, message).result_int();
     }
 
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -130,12 +130,12 @@
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.newVersion.isInForceEverywhereAndNeverGoesBack")
 {
     REQUIRE(servesLookups());
-    const std::string newer = config(5, { route("/added/", "idempotent", "ordering") });
+    const std::string newer = publishedConfig(5, { { "/added/", "idempotent", "ordering" } });
     store.put("op", "config", newer);
     CHECK(waitFor([&] { return call(http::verb::get, "/added/1").result_int() == 200; }, 1s));
     CHECK(send(vms[1].caller, request(http::verb::get, "/added/1")).result_int() == 200);
     CHECK(call(http::verb::get, "/look/1").result_int() == 404);
-    store.put("op", "config", config(4, { route("/look/", "idempotent", "ordering") }));
+    store.put("op", "config", publishedConfig(4, { { "/look/", "idempotent", "ordering" } }));
     store.put("op", "config", "{\"version\":9");
     runFor(200ms);
     CHECK(call(http::verb::get, "/look/1").result_int() == 404);
@@ -145,7 +145,7 @@
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.storeForgetsItsHistory.daemonsReadAgain")
 {
     REQUIRE(servesLookups());
-    store.put("op", "config", config(5, { route("/added/", "idempotent", "ordering") }));
+    store.put("op", "config", publishedConfig(5, { { "/added/", "idempotent", "ordering" } }));
     store.forgetHistory();
     CHECK(waitFor([&] { return call(http::verb::get, "/added/1").result_int() == 200; }, 2s));
 }
@@ -193,7 +193,7 @@
 
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.silentServer.isAnsweredAtTheTimeoutOfTheRoute")
 {
-    store.put("op", "config", config(2, { route("/order/", "non_idempotent", "ordering", 500) }));
+    store.put("op", "config", publishedConfig(2, { { "/order/", "non_idempotent", "ordering", 500 } }));
     REQUIRE(waitFor([&] { return call(http::verb::post, "/order/1").result_int() == 200; }));
     runFor(200ms);
     vms[1].backend->hangs = true;
@@ -223,7 +223,7 @@
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.endOfTheGracePeriod.answersWhatIsStillInProgress")
 {
     // Guards against connections that close without an answer: nps-mesh trouble-2, seed 416634611453.
-    store.put("op", "config", config(2, { route("/order/", "non_idempotent", "ordering", 9000) }));
+    store.put("op", "config", publishedConfig(2, { { "/order/", "non_idempotent", "ordering", 9000 } }));
     REQUIRE(waitFor([&] { return call(http::verb::post, "/order/1").result_int() == 200; }));
     vms[1].backend->hangs = true;
     HttpRequest message = request(http::verb::post, "/order/1");
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -53,6 +53,9 @@
     uint64_t m_oldestWatch = 0;
 };
 
+/** @return what a backend server with nine slots tells its daemon of itself */
+std::string heartbeatBody(const std::string &address, int64_t bornMs, const std::string &service, const std::string &state, uint64_t sequence);
+
 /** Stand-in for a backend server of the users' platform. */
 class StandInBackend
 {
--- a/tests/process/explaintest.cpp
+++ b/tests/process/explaintest.cpp
@@ -1,14 +1,14 @@
+#include "commandlinetool.h"
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
+using namespace carobjunction;
 using Json = nlohmann::json;
 
 struct ExplainFixture {
@@ -31,15 +31,9 @@
     /** @return exit code of `explain ID --logs FILES`; the output is in #output */
     int explain(const std::string &id, const std::string &more = "")
     {
-        FILE *pipe = popen((std::string(CAROBJUNCTION_BINARY_DIR) + "/cli/carobjunction explain " + id + " --logs" + files + more + " 2>&1").c_str(), "r");
-        REQUIRE(pipe != nullptr);
-        output.clear();
-        std::array<char, 4096> buffer {};
-        while (const size_t count = std::fread(buffer.data(), 1, buffer.size(), pipe)) {
-            output.append(buffer.data(), count);
-        }
-        const int status = pclose(pipe);
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        RunResult result = run("explain " + id + " --logs" + files + more);
+        output = std::move(result.output);
+        return result.exitCode;
     }
 
     std::string directory;
@@ -56,6 +50,15 @@
                                  "2026-12-04T10:00:01.051Z INFO  event=2003 name=call-answered request=r1 status=502 reason=answer-lost ms=60\n"
                                  "2026-12-04T10:00:01.052Z INFO  event=2003 name=call-answered request=r2 status=200 reason=none ms=9\n";
 
+std::vector<std::string> stepNames(const Json &story)
+{
+    std::vector<std::string> names;
+    for (const Json &step : story["steps"]) {
+        names.push_back(step["name"]);
+    }
+    return names;
+}
+
 } // namespace
 
 TEST_CASE_METHOD(ExplainFixture, "Explain.logsOfTwoDaemons.areJoinedByTime")
@@ -69,11 +72,7 @@
           "2026-12-04T10:00:01.048Z INFO  event=3007 name=target-down backend=i-1 state=gone\n");
     REQUIRE(explain("r1", " --output json") == 0);
     const Json story = Json::parse(output);
-    std::vector<std::string> names;
-    for (const Json &step : story["steps"]) {
-        names.push_back(step["name"]);
-    }
-    CHECK(names == std::vector<std::string> { "daemon-started", "target-down", "suspect-recorded", "retry-decided", "call-answered" });
+    CHECK(stepNames(story) == std::vector<std::string> { "daemon-started", "target-down", "suspect-recorded", "retry-decided", "call-answered" });
     CHECK(story["steps"][1]["ms"] == -2);
     CHECK(story["steps"][1]["daemon"] == "owner");
     CHECK(story["steps"][1]["context"] == true);
@@ -91,11 +90,7 @@
           "2026-12-04T10:00:01.000Z INFO  event=3002 name=target-leaving backend=i-1 service=ordering state=draining\n");
     REQUIRE(explain("r1", " --output json") == 0);
     const Json story = Json::parse(output);
-    std::vector<std::string> names;
-    for (const Json &step : story["steps"]) {
-        names.push_back(step["name"]);
-    }
-    CHECK(names == std::vector<std::string> { "target-down", "target-leaving", "retry-decided", "call-answered" });
+    CHECK(stepNames(story) == std::vector<std::string> { "target-down", "target-leaving", "retry-decided", "call-answered" });
 }
 
 TEST_CASE_METHOD(ExplainFixture, "Explain.clockThatIsAhead.isSetBack")
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -19,7 +19,6 @@
 {
 
 using namespace std::chrono_literals;
-using Json = nlohmann::json;
 
 namespace
 {
@@ -30,6 +29,7 @@
 constexpr auto RecoveryTime = 6s;
 constexpr auto CheckTime = 2s;
 constexpr double ServedWhenCalm = 0.95; // share of the requests that succeed after the faults
+constexpr int AimMs = 500; // of all routes
 constexpr int CallersEach = 2; // of each kind, on each VM
 
 int64_t unixMs()
@@ -42,26 +42,6 @@
     return result.end == ExchangeEnd::Answered && result.response.result() == http::status::ok;
 }
 
-Json route(const std::string &prefix, bool isIdempotent, const std::string &service)
-{
-    return { { "type", "routes" },
-             { "metadata", { { "name", "route" + prefix } } },
-             { "spec",
-               { { "host", "h.example" },
-                 { "prefix", prefix },
-                 { "kind", isIdempotent ? "idempotent" : "non_idempotent" },
-                 { "timeout_ms", 2000 },
-                 { "aim_ms", 500 },
-                 { "priority", 1 },
-                 { "service", service },
-                 { "attempts", 2 } } } };
-}
-
-Json serviceEntry(const std::string &name)
-{
-    return { { "type", "services" }, { "metadata", { { "name", name } } }, { "spec", { { "health_path", "/healthz" }, { "max_connections", 260 } } } };
-}
-
 } // namespace
 
 SoakWorld::SoakWorld(SoakOptions options) : m_options(std::move(options)), m_random(m_options.seed)
@@ -81,13 +61,7 @@
     vm->name = "vm-" + std::to_string(number);
     vm->region = number % 2 == 0 ? "north" : "south";
     vm->service = number / 2 % 2 == 0 ? "ordering" : "dispatch";
-    const auto address = [this] {
-        return "127.0.0.1:" + std::to_string(m_ports.next());
-    };
-    vm->caller = address();
-    vm->peer = address();
-    vm->ready = address();
-    vm->control = address();
+    vm->takePorts(m_ports);
     vm->settingsFile = m_options.logDirectory + "/" + vm->name + ".yaml";
     vm->bornMs = unixMs();
     vm->backend = std::make_unique<platform::StandInBackend>(m_loop, "i-" + vm->name + "-0");
@@ -109,10 +83,9 @@
 {
     std::ofstream file(vm.settingsFile);
     file << "daemon: " << vm.name << "\nregion: " << vm.region << "\ndata-centre: " << vm.region << "-a\nservice: " << vm.service
-         << "\nbackend-address: " << vm.backendLink->address() << "\ncaller-address: " << vm.caller << "\npeer-address: " << vm.peer
-         << "\nannounced-address: " << vm.peerLink->address() << "\nready-address: " << vm.ready << "\noperator-address: " << vm.control
-         << "\nstore-address: " << vm.storeLink->address() << "\nheartbeat-interval: " << toMs(HeartbeatInterval) << "ms\ngrace-period: " << toMs(GracePeriod)
-         << "ms\nretry-slack: " << 50 + m_version << "\n";
+         << "\nbackend-address: " << vm.backendLink->address() << "\n"
+         << vm.settings() << "announced-address: " << vm.peerLink->address() << "\nstore-address: " << vm.storeLink->address()
+         << "\nheartbeat-interval: " << toMs(HeartbeatInterval) << "ms\ngrace-period: " << toMs(GracePeriod) << "ms\nretry-slack: " << 50 + m_version << "\n";
 }
 
 void SoakWorld::startDaemon(SoakVm &vm)
@@ -128,15 +101,17 @@
 void SoakWorld::publish()
 {
     ++m_version;
-    Json resources = { route("/look/", true, "ordering"),
-                       route("/order/", false, "ordering"),
-                       route("/ship/", true, "dispatch"),
-                       serviceEntry("ordering"),
-                       serviceEntry("dispatch") };
+    constexpr const char *Idempotent = "idempotent";
+    std::vector<platform::PublishedRoute> routes { { "/look/", Idempotent, "ordering" },
+                                                   { "/order/", "non_idempotent", "ordering" },
+                                                   { "/ship/", Idempotent, "dispatch" } };
     for (int version = 2; version <= m_version; ++version) {
-        resources.push_back(route("/v" + std::to_string(version) + "/", true, "dispatch"));
+        routes.push_back({ "/v" + std::to_string(version) + "/", Idempotent, "dispatch" });
+    }
+    for (platform::PublishedRoute &route : routes) {
+        route.aimMs = AimMs;
     }
-    m_store.put("op", "config", Json { { "version", m_version }, { "resources", resources } }.dump());
+    m_store.put("op", "config", platform::publishedConfig(m_version, routes));
 }
 
 void SoakWorld::spawn(Task<void> task)
@@ -190,12 +165,7 @@
 Task<void> SoakWorld::sendHeartbeat(SoakVm &vm, std::string id, uint64_t sequence, int64_t bornMs, bool draining)
 {
     HttpRequest message(http::verb::put, "/v1/instances/" + id, 11);
-    message.body() = Json {
-        { "address", vm.backendLink->address() },
-        { "born", bornMs },
-        { "info", { { "service", vm.service }, { "version", "v1" }, { "zone", "a" }, { "slots", 9 } } },
-        { "status", { { "state", draining ? "draining" : "ready" }, { "seq", sequence }, { "cold_remaining_ms", 0 } } }
-    }.dump();
+    message.body() = platform::heartbeatBody(vm.backendLink->address(), bornMs, vm.service, draining ? "draining" : "ready", sequence);
     if (co_await sendControl(vm, std::move(message)) && draining) {
         m_promises.onLeaveAcknowledged(id, SteadyClock().now());
     }
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -3,7 +3,9 @@
 #include "childprocess.h"
 #include "faultproxy.h"
 #include "freeports.h"
+#include "platform/daemonports.h"
 #include "platform/platformstandins.h"
+#include "platform/publishedconfig.h"
 #include "promises.h"
 
 #include <memory>
@@ -25,14 +27,10 @@
 };
 
 /** One VM: a daemon as a process of its own, its backend server, and the proxies around it. */
-struct SoakVm {
+struct SoakVm : platform::DaemonPorts {
     std::string name;
     std::string region;
     std::string service;
-    std::string caller;
-    std::string peer;
-    std::string ready;
-    std::string control;
     std::string settingsFile;
     std::unique_ptr<platform::StandInBackend> backend;
     std::shared_ptr<FaultProxy> storeLink;
