Let the soak's callers keep connections up to the idle limit, and show requests that are cut there

Cause: the users saw requests on kept connections that were passed on and got no answer. The soak could not see it: its callers sent the next request after 60 ms at most, no configuration set an idle limit, and whether a request had been passed on was asked when its connection ended, while its run may begin after that.

Change: configurations set idle limits of 0.3 to 1.5 s; three callers on each VM send their next request at 0.7 to 1.02 of the limit; daemons are held up for 30 to 250 ms ten times in a row; odd rows and odd datagrams come. A request whose kept connection ends without an answer must not run, unless its daemon's process ended; a pause of the VM is no excuse.

--- a/tests/platform/publishedconfig.h
+++ b/tests/platform/publishedconfig.h
@@ -32,13 +32,28 @@
     }
 };
 
-/** @return a configuration with these routes and the services "ordering" and "dispatch" */
-inline std::string publishedConfig(int version, const std::vector<PublishedRoute> &routes)
+/** @return the limits of callers as the platform's operator publishes them */
+inline nlohmann::json publishedLimits(int idleTimeoutMs)
+{
+    return { { "type", "limits" },
+             { "metadata", nlohmann::json::object() },
+             { "spec",
+               { { "max_header_bytes", 16384 }, { "max_body_bytes", 67108864 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", idleTimeoutMs } } } };
+}
+
+/**
+ * @param idleTimeoutMs  of callers' connections; 0 to publish no limits
+ * @return a configuration with these routes and the services "ordering" and "dispatch"
+ */
+inline std::string publishedConfig(int version, const std::vector<PublishedRoute> &routes, int idleTimeoutMs = 0)
 {
     nlohmann::json resources = nlohmann::json::array();
     for (const PublishedRoute &route : routes) {
         resources.push_back(route.toJson());
     }
+    if (idleTimeoutMs > 0) {
+        resources.push_back(publishedLimits(idleTimeoutMs));
+    }
     for (const char *service : { "ordering", "dispatch" }) {
         resources.push_back(
             { { "type", "services" }, { "metadata", { { "name", service } } }, { "spec", { { "health_path", "/healthz" }, { "max_connections", 260 } } } });
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -37,6 +37,11 @@
     known = std::max(known, until);
 }
 
+void Promises::onProcessEnd(const std::string &vm, TimePoint now)
+{
+    m_processEndedAt[vm] = now;
+}
+
 bool Promises::isInTouch(const std::string &vm, TimePoint now) const
 {
     const auto found = m_harmedUntil.find(vm);
@@ -71,6 +76,9 @@
     if (m_refused.count(request) > 0) {
         fail("a refusal that says not run is true", request + " runs at " + backend);
     }
+    if (const auto closed = m_closedEarly.find(request); closed != m_closedEarly.end()) {
+        fail(closed->second, request + " runs at " + backend + " after its connection was closed");
+    }
     m_seals[request].insert("seal-of-" + backend);
     const auto left = m_leaving.find(backend);
     if (left != m_leaving.end() && now > left->second + m_bounds.drainTime && isInTouch(vm, now)) {
@@ -98,15 +106,39 @@
         fail("a caller has its final answer at its deadline", exchange.request + " at " + exchange.vm);
         return;
     }
-    const bool wasPassedOn = m_runs.count(exchange.request) > 0;
-    if (wasPassedOn || exchange.endedAt - exchange.sentAt > m_bounds.crossingTime) {
-        fail("a graceful stop cuts no request", exchange.request + " at " + exchange.vm + ": " + exchange.result.detail);
+    constexpr const char *Promise = "a graceful stop cuts no request";
+    if (exchange.endedAt - exchange.sentAt > m_bounds.crossingTime) {
+        fail(Promise, exchange.request + " at " + exchange.vm + ": " + exchange.result.detail);
+        return;
+    }
+    failIfPassedOn(exchange, Promise);
+}
+
+/** The run of a request that was passed on may begin after its connection was closed. */
+void Promises::failIfPassedOn(const CallerExchange &exchange, const std::string &promise)
+{
+    if (m_runs.count(exchange.request) > 0) {
+        fail(promise, exchange.request + " at " + exchange.vm + ": " + exchange.result.detail);
+    } else {
+        m_closedEarly.emplace(exchange.request, promise);
+    }
+}
+
+/** A pause of the VM or a change of the limits is no excuse: what was passed on is answered unless the process ends. */
+void Promises::checkKeptConnection(const CallerExchange &exchange)
+{
+    const auto ended = m_processEndedAt.find(exchange.vm);
+    const bool hasProcessEnded = ended != m_processEndedAt.end() && ended->second >= exchange.sentAt;
+    const bool isClosed = exchange.result.end == ExchangeEnd::Lost;
+    if (exchange.isOnKeptConnection && isClosed && !hasProcessEnded) {
+        failIfPassedOn(exchange, "a request on a kept connection that was passed on is answered");
     }
 }
 
 void Promises::onEnd(const CallerExchange &exchange)
 {
     if (exchange.result.end != ExchangeEnd::Answered) {
+        checkKeptConnection(exchange);
         checkLoss(exchange);
         return;
     }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -27,6 +27,7 @@
     TimePoint sentAt;
     TimePoint deadline; /**< At which the answer was due. */
     TimePoint endedAt;
+    bool isOnKeptConnection = false; /**< Its connection had carried another request before. */
 };
 
 /** What the callers and backend servers of a soak see, checked against what carobjunction promises. Not thread-safe. */
@@ -40,6 +41,9 @@
     /** A daemon or one of its links is harmed at @p until or before. */
     void onHarm(const std::string &vm, TimePoint until);
 
+    /** The process of a daemon ends, gracefully or not, with all its connections. */
+    void onProcessEnd(const std::string &vm, TimePoint now);
+
     /** A daemon acknowledged that a backend server leaves. Heartbeats repeat it; the first counts. */
     void onLeaveAcknowledged(const std::string &backend, TimePoint now);
 
@@ -82,14 +86,18 @@
 private:
     void checkSuccess(const CallerExchange &exchange);
     void checkLoss(const CallerExchange &exchange);
+    void checkKeptConnection(const CallerExchange &exchange);
+    void failIfPassedOn(const CallerExchange &exchange, const std::string &promise);
 
     PromiseBounds m_bounds;
     std::map<std::string, TimePoint> m_harmedUntil; /**< By VM. */
+    std::map<std::string, TimePoint> m_processEndedAt; /**< Last end of each VM's daemon. */
     std::map<std::string, TimePoint> m_leaving; /**< By backend server. */
     std::map<std::string, bool> m_sent; /**< Whether each request may be repeated. */
     std::map<std::string, int> m_runs;
     std::map<std::string, std::set<std::string>> m_seals; /**< Of the backend servers that ran each request. */
     std::set<std::string> m_refused;
+    std::map<std::string, std::string> m_closedEarly; /**< Promise that a request breaks if it runs after its connection was closed. */
     std::map<std::pair<std::string, int>, int> m_newestSeen; /**< Configuration version, by VM and start of its daemon. */
     size_t m_answered = 0;
     std::vector<std::string> m_failures;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -31,6 +31,9 @@
 constexpr double ServedWhenCalm = 0.95; // share of the requests that succeed after the faults
 constexpr int AimMs = 500; // of all routes
 constexpr int CallersEach = 2; // of each kind, on each VM
+constexpr int IdleCallersEach = 3; // on each VM
+constexpr Duration ShortestIdleTimeout = 300ms;
+constexpr Duration LongestIdleTimeout = 1500ms;
 
 int64_t unixMs()
 {
@@ -111,7 +114,8 @@
     for (platform::PublishedRoute &route : routes) {
         route.aimMs = AimMs;
     }
-    m_store.put("op", "config", platform::publishedConfig(m_version, routes));
+    m_idleTimeout = between(ShortestIdleTimeout, LongestIdleTimeout);
+    m_store.put("op", "config", platform::publishedConfig(m_version, routes, static_cast<int>(toMs(m_idleTimeout))));
 }
 
 void SoakWorld::spawn(Task<void> task)
@@ -219,7 +223,9 @@
     exchange.deadline = exchange.sentAt + timeLeft;
     ExchangeOptions options;
     options.deadline = exchange.deadline + PromiseBounds().answerMargin;
+    const uint64_t opened = connections->connectionsOpened();
     exchange.result = co_await connections->exchange(std::move(message), std::move(options), std::make_shared<Cancellation>());
+    exchange.isOnKeptConnection = connections->connectionsOpened() == opened;
     exchange.endedAt = SteadyClock().now();
     m_promises.onEnd(exchange);
     co_return exchange.result;
@@ -235,6 +241,17 @@
     }
 }
 
+/** Sends its next request shortly before or after its connection has been idle for the limit in force. */
+Task<void> SoakWorld::idleCaller(SoakVm &vm)
+{
+    const auto connections = std::make_shared<HttpClientPool>(m_loop, toEndpoint(vm.caller).value(), PoolLimits { 1, 10s });
+    while (!m_isOver) {
+        co_await sendRequest(vm, connections, http::verb::get, "/look/x", 2s);
+        const double share = std::uniform_real_distribution<double>(0.7, 1.02)(m_random);
+        co_await pause(scaled(m_idleTimeout, share));
+    }
+}
+
 /** Asks for the newest configuration and for an older one, each time over a new connection. */
 Task<void> SoakWorld::versionProbes(SoakVm &vm)
 {
@@ -268,7 +285,7 @@
 void SoakWorld::startFault()
 {
     SoakVm &vm = anyVm();
-    switch (std::uniform_int_distribution<int>(0, 11)(m_random)) {
+    switch (std::uniform_int_distribution<int>(0, 14)(m_random)) {
     case 0:
         return spawn(killDaemon(vm));
     case 1:
@@ -290,6 +307,12 @@
         return spawn(harmLink(vm, vm.peerLink, "peer"));
     case 10:
         return spawn(harmLink(vm, vm.backendLink, "backend"));
+    case 11:
+        return writeOddRow();
+    case 12:
+        return sendOddDatagram(vm);
+    case 13:
+        return spawn(holdUpDaemon(vm));
     default:
         tell("configuration");
         publish();
@@ -313,6 +336,63 @@
     m_store.put(ClusterSync<platform::PlatformAdapter>::VmTable, vm.name, VmRecordCodec::encode(record));
 }
 
+/** Another writer leaves an entry in the table of VM records that no daemon can use. */
+void SoakWorld::writeOddRow()
+{
+    constexpr size_t Depth = 20'000;
+    const std::string nested = std::string(Depth, '[') + std::string(Depth, ']');
+    const std::string record = R"({"daemon":"odd","incarnation":1,"revision":1,"address":"127.0.0.1:PORT","dataCentre":"north-a","region":"north",)"
+                               R"("stopping":false,"backend":{"id":"i-odd","bornMs":1,"service":"ordering","slots":9,"state":"ready","leaving":false}})";
+    const auto with = [&](const std::string &from, const std::string &to) {
+        std::string odd = record;
+        odd.replace(odd.find(from), from.size(), to);
+        return odd;
+    };
+    const std::vector<std::string> values { nested,
+                                            R"({"daemon":"odd","backend":)" + nested + "}",
+                                            with("PORT", "99999"),
+                                            with("PORT", "0"),
+                                            with(R"("revision":1)", R"("revision":1e300)"),
+                                            with(R"("slots":9)", R"("slots":18446744073709551616)"),
+                                            "\xff\xfe" };
+    const size_t which = std::uniform_int_distribution<size_t>(0, values.size() - 1)(m_random);
+    tell("odd row " + std::to_string(which));
+    m_store.put(ClusterSync<platform::PlatformAdapter>::VmTable, "odd", values[which]);
+}
+
+/** Somebody sends a datagram of deeply nested lists to a daemon. */
+void SoakWorld::sendOddDatagram(SoakVm &vm)
+{
+    constexpr size_t Depth = 60'000;
+    constexpr char ListOfOne = '\x81'; // CBOR
+    tell("odd datagram to " + vm.name);
+    const Tcp::endpoint peer = toEndpoint(vm.peer).value();
+    Udp::socket socket(m_loop, Udp::endpoint(Udp::v4(), 0));
+    ErrorCode ignored; // the daemon may be down
+    socket.send_to(asio::buffer(std::string(Depth, ListOfOne)), Udp::endpoint(peer.address(), peer.port()), 0, ignored);
+}
+
+/** Stops a daemon for moments in a row, as a busy VM does. Bounds of time don't hold meanwhile, all other promises do. */
+Task<void> SoakWorld::holdUpDaemon(SoakVm &vm)
+{
+    if (std::exchange(vm.isDaemonBusy, true)) {
+        co_return;
+    }
+    ++m_faultsInProgress;
+    constexpr int Times = 10;
+    tell("hold up " + vm.name);
+    for (int i = 0; i < Times; ++i) {
+        const Duration time = between(30ms, 250ms);
+        m_promises.onHarm(vm.name, SteadyClock().now() + time);
+        ::kill(vm.daemon->pid(), SIGSTOP);
+        co_await pause(time);
+        ::kill(vm.daemon->pid(), SIGCONT);
+        co_await pause(between(1ms, 100ms));
+    }
+    vm.isDaemonBusy = false;
+    --m_faultsInProgress;
+}
+
 Task<void> SoakWorld::killDaemon(SoakVm &vm)
 {
     if (std::exchange(vm.isDaemonBusy, true)) {
@@ -323,6 +403,7 @@
     tell("kill " + vm.name + (isClockBack ? ", clock goes back" : ""));
     const Duration downTime = between(50ms, 1500ms);
     m_promises.onHarm(vm.name, SteadyClock().now() + downTime + 500ms);
+    m_promises.onProcessEnd(vm.name, SteadyClock().now());
     vm.daemon->kill();
     co_await pause(downTime);
     if (isClockBack) {
@@ -366,6 +447,7 @@
         }
         co_await pause(20ms);
     }
+    m_promises.onProcessEnd(vm.name, SteadyClock().now());
     co_await pause(between(0ms, 500ms));
     startDaemon(vm);
     vm.isDaemonBusy = false;
@@ -497,6 +579,9 @@
             spawn(caller(*vm, true));
             spawn(caller(*vm, false));
         }
+        for (int i = 0; i < IdleCallersEach; ++i) {
+            spawn(idleCaller(*vm));
+        }
         spawn(versionProbes(*vm));
     }
     co_await pause(500ms);
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -87,6 +87,7 @@
     Task<void> sendLeave(SoakVm &vm);
     Task<void> slowSpells(SoakVm &vm);
     Task<void> caller(SoakVm &vm, bool isIdempotent);
+    Task<void> idleCaller(SoakVm &vm);
     Task<ExchangeResult> sendRequest(SoakVm &vm, std::shared_ptr<HttpClientPool> connections, http::verb method, std::string path, Duration timeLeft);
     Task<void> versionProbes(SoakVm &vm);
 
@@ -94,11 +95,14 @@
     void startFault();
     Task<void> killDaemon(SoakVm &vm);
     Task<void> pauseDaemon(SoakVm &vm);
+    Task<void> holdUpDaemon(SoakVm &vm);
     Task<void> stopDaemon(SoakVm &vm);
     Task<void> replaceBackend(SoakVm &vm, BackendEnd how);
     Task<void> harmStore();
     Task<void> harmLink(SoakVm &vm, std::shared_ptr<FaultProxy> link, std::string name);
     void setClockBack(SoakVm &vm);
+    void writeOddRow();
+    void sendOddDatagram(SoakVm &vm);
 
     Task<void> checkRecovery();
     Task<void> director();
@@ -112,6 +116,7 @@
     platform::StandInTableStore m_store { m_loop };
     std::vector<std::unique_ptr<SoakVm>> m_vms;
     int m_version = 0;
+    Duration m_idleTimeout = Duration::zero(); /**< Of the newest configuration. */
     uint64_t m_lastRequest = 0;
     int m_faultsInProgress = 0;
     bool m_isStoreBusy = false;
