--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -16,6 +16,15 @@
 namespace carobjunction::soak
 {
 
+/** Time that a daemon has after a stop signal. */
+constexpr Duration GracePeriod = std::chrono::seconds(4);
+
+/** @return the time of day in milliseconds */
+inline int64_t unixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 /** Size and length of a soak. */
 struct SoakOptions {
     uint64_t seed = 1;
