Say when an answer is not delivered to the caller

Cause: a request that was handed to the handler and whose connection ended without an answer left no line: the log could not tell a close by a timer of the daemon from a caller that left.

Change: HttpListener calls a hook with the answer and an UndeliveredCause, which names the timer or the call of this process that closed the connection. VmDaemon writes event 2009 answer-undelivered for the caller and peer ports and counts carobjunction_answers_undelivered_total for the caller port. No decision of the listener changes.

Conclusion: each undelivered answer can be traced to a cause. A write that the kernel accepts counts as delivered.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -36,13 +36,13 @@
     void closeIfIdle()
     {
         if (!m_isBusy) {
-            close();
+            close(UndeliveredCause::ListenerClosed);
         }
     }
 
     void drop()
     {
-        close();
+        close(UndeliveredCause::ConnectionsDropped);
         if (m_cancellation) {
             m_cancellation->request();
         }
@@ -63,34 +63,47 @@
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
     Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
     Task<bool> answer(HttpRequest request);
+    Task<ErrorCode> write(HttpResponse &response, bool isHead);
+    UndeliveredCause causeOf(ErrorCode writeError) const;
+    void reportUndelivered(const HttpResponse *response, UndeliveredCause cause);
     Task<void> rejectUnreadable(ErrorCode error);
     Task<void> reject(http::status status);
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
-    void closeAfter(Duration time);
+    void closeAfter(Duration time, UndeliveredCause timer);
+    void close(UndeliveredCause cause);
     void close();
 
     std::shared_ptr<HttpListener> m_listener;
     Tcp::socket m_socket;
     asio::steady_timer m_timer;
     beast::flat_buffer m_buffer;
+    std::optional<UndeliveredCause> m_closedBy; /**< What in this process closed the connection. */
     CancellationPtr m_cancellation; /**< Of the request that is being answered. */
     bool m_isBusy = false;
     bool m_isAborted = false; /**< The process ends, not the client's interest. */
 };
 
+void HttpListener::Session::close(UndeliveredCause cause)
+{
+    if (!m_closedBy) {
+        m_closedBy = cause;
+    }
+    close();
+}
+
 void HttpListener::Session::close()
 {
     ErrorCode ignored; // the connection is given up in any case
     m_socket.close(ignored);
 }
 
-void HttpListener::Session::closeAfter(Duration time)
+void HttpListener::Session::closeAfter(Duration time, UndeliveredCause timer)
 {
     m_timer.expires_after(time);
-    m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
+    m_timer.async_wait([self = shared_from_this(), timer](ErrorCode error) {
         if (!error) {
-            self->close();
+            self->close(timer);
         }
     });
 }
@@ -128,13 +141,13 @@
 {
     ErrorCode error;
     if (m_buffer.size() == 0) {
-        closeAfter(limits.idleTimeout);
+        closeAfter(limits.idleTimeout, UndeliveredCause::IdleTimer);
         co_await m_socket.async_wait(Tcp::socket::wait_read, into(error));
     }
     if (error) {
         co_return false;
     }
-    closeAfter(limits.headerTimeout);
+    closeAfter(limits.headerTimeout, UndeliveredCause::HeaderTimer);
     co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
     m_timer.cancel();
     if (!error) {
@@ -154,7 +167,7 @@
         http::response<http::string_body> interim(http::status::continue_, parser.get().version());
         co_await http::async_write(m_socket, interim, into(error));
     }
-    closeAfter(limits.bodyTimeout);
+    closeAfter(limits.bodyTimeout, UndeliveredCause::BodyTimer);
     co_await http::async_read(m_socket, m_buffer, parser, into(error));
     m_timer.cancel();
     if (!error) {
@@ -190,6 +203,8 @@
     m_cancellation.reset();
     const bool hasLeft = cancellation->isRequested() && !m_isAborted;
     if (!response || hasLeft || error) {
+        const bool isMissing = !response && !m_closedBy && !hasLeft;
+        reportUndelivered(response ? &*response : nullptr, isMissing ? UndeliveredCause::NoAnswer : causeOf(error));
         co_return false;
     }
     const bool isKept = wantsKeepAlive && !m_listener->m_isClosing;
@@ -197,18 +212,44 @@
     if (!isHead) {
         response->prepare_payload();
     }
-    closeAfter(m_listener->m_limits().bodyTimeout);
+    error = co_await write(*response, isHead);
+    if (error) {
+        reportUndelivered(&*response, causeOf(error));
+    } else if (!isKept) {
+        co_await linger();
+    }
+    co_return !error && isKept;
+}
+
+Task<ErrorCode> HttpListener::Session::write(HttpResponse &response, bool isHead)
+{
+    ErrorCode error;
+    closeAfter(m_listener->m_limits().bodyTimeout, UndeliveredCause::WriteTimer);
     if (isHead) {
-        http::response<http::empty_body> head(std::move(response->base()));
+        http::response<http::empty_body> head(response.base());
         co_await http::async_write(m_socket, head, into(error));
     } else {
-        co_await http::async_write(m_socket, *response, into(error));
+        co_await http::async_write(m_socket, response, into(error));
     }
     m_timer.cancel();
-    if (!error && !isKept) {
-        co_await linger();
+    co_return error;
+}
+
+/** A close by this process counts before what it brings about: the end of the handler's work and the error of the write. */
+UndeliveredCause HttpListener::Session::causeOf(ErrorCode writeError) const
+{
+    if (m_closedBy) {
+        return *m_closedBy;
+    }
+    const bool isPeersClose = !writeError || writeError == asio::error::connection_reset || writeError == asio::error::broken_pipe;
+    return isPeersClose ? UndeliveredCause::CallerLeft : UndeliveredCause::WriteFailed;
+}
+
+void HttpListener::Session::reportUndelivered(const HttpResponse *response, UndeliveredCause cause)
+{
+    if (m_listener->m_reportUndelivered) {
+        m_listener->m_reportUndelivered(response, cause);
     }
-    co_return !error && isKept;
 }
 
 /** Tells the client why its message could not be read. A connection that has just ended gets no answer. */
@@ -233,7 +274,7 @@
     response.keep_alive(false);
     response.prepare_payload();
     ErrorCode error;
-    closeAfter(LingerTime);
+    closeAfter(LingerTime, UndeliveredCause::WriteTimer);
     co_await http::async_write(m_socket, response, into(error));
     m_timer.cancel();
     if (!error) {
@@ -246,7 +287,7 @@
 {
     ErrorCode error;
     m_socket.shutdown(Tcp::socket::shutdown_send, error);
-    closeAfter(LingerTime);
+    closeAfter(LingerTime, UndeliveredCause::LingerTimer);
     std::array<char, 4096> unread {};
     while (!error) {
         co_await m_socket.async_read_some(asio::buffer(unread), into(error));
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/clock.h>
 
 #include "connection/asio.h"
+#include "connection/undeliveredcause.h"
 #include "request/cancellation.h"
 
 #include <functional>
@@ -57,6 +58,15 @@
         m_completeRejection = std::move(complete);
     }
 
+    /**
+     * @param report  called once for each request that was handed to the handler and whose answer did not reach the caller whole. The
+     *                answer is null if the handler gave none
+     */
+    void setUndeliveredHook(std::function<void(const HttpResponse *, UndeliveredCause)> report)
+    {
+        m_reportUndelivered = std::move(report);
+    }
+
     /** Answers from now on tell clients that their connection is closed after them. */
     void announceClose()
     {
@@ -93,6 +103,7 @@
     Tcp::acceptor m_acceptor;
     ClientRequestHandler m_handler;
     std::function<void(HttpResponse &)> m_completeRejection;
+    std::function<void(const HttpResponse *, UndeliveredCause)> m_reportUndelivered;
     std::function<ListenerLimits()> m_limits;
     std::set<std::shared_ptr<Session>> m_sessions;
     size_t m_activeRequests = 0;
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -24,6 +24,7 @@
     RequestRejected = 2006,
     AnswerDiscarded = 2007,
     CancelSent = 2008,
+    AnswerUndelivered = 2009,
     // 3000: targets
     TargetAnnounced = 3001,
     TargetLeaving = 3002,
@@ -80,6 +81,7 @@
         { Event::RequestRejected, "request-rejected" },
         { Event::AnswerDiscarded, "answer-discarded" },
         { Event::CancelSent, "cancel-sent" },
+        { Event::AnswerUndelivered, "answer-undelivered" },
         { Event::TargetAnnounced, "target-announced" },
         { Event::TargetLeaving, "target-leaving" },
         { Event::TargetDrained, "target-drained" },
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -34,6 +34,7 @@
     GossipBytesReceived,
     DispatchBytesCrossRegion,
     AnswersDiscarded,
+    AnswersUndelivered,
     StoreFailures,
     Count, /**< Number of counters. */
 };
@@ -59,6 +60,7 @@
         { Counter::GossipBytesReceived, "carobjunction_gossip_bytes_received_total" },
         { Counter::DispatchBytesCrossRegion, "carobjunction_dispatch_bytes_cross_region_total" },
         { Counter::AnswersDiscarded, "carobjunction_answers_discarded_total" },
+        { Counter::AnswersUndelivered, "carobjunction_answers_undelivered_total" },
         { Counter::StoreFailures, "carobjunction_store_failures_total" },
     };
 };
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -102,6 +102,7 @@
         if (!isOpen) {
             return false;
         }
+        reportUndeliveredAnswers();
         m_sync.start([this] { return m_target.report(); }, [this](const BackendRecord *former) { m_target.recall(former); });
         scheduleTick();
         EventLog::write(LogLevel::Info, Event::DaemonStarted, { { "daemon", m_settings.daemon }, { "peerAddress", m_settings.peerAddress } });
@@ -149,6 +150,25 @@
         return port != nullptr;
     }
 
+    void reportUndeliveredAnswers()
+    {
+        m_callerPort->setUndeliveredHook([this](const HttpResponse *response, UndeliveredCause cause) {
+            m_metrics.add(Counter::AnswersUndelivered);
+            logUndelivered("caller", response, cause);
+        });
+        m_peerPort->setUndeliveredHook([](const HttpResponse *response, UndeliveredCause cause) { logUndelivered("peer", response, cause); });
+    }
+
+    static void logUndelivered(const std::string &port, const HttpResponse *response, UndeliveredCause cause)
+    {
+        EventLog::write(cause == UndeliveredCause::CallerLeft ? LogLevel::Info : LogLevel::Warning,
+                        Event::AnswerUndelivered,
+                        { { "request", response == nullptr ? "" : fieldText(*response, Platform::headers().requestId) },
+                          { "port", port },
+                          { "status", response == nullptr ? "" : std::to_string(response->result_int()) },
+                          { "cause", std::string(nameOf(cause)) } });
+    }
+
     ListenerLimits listenerLimits(bool isCaller) const
     {
         constexpr double DescriptorShare = 0.5; // the other half is for peers and the backend server
--- /dev/null
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -0,0 +1,72 @@
+#include "connection/httplistenerclosefixture.h"
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.answerThatIsDelivered.isNotReported")
+{
+    // Guards against false alarms.
+    read();
+    write(lookup);
+    runFor(50ms);
+    CHECK(received.ends_with("done"));
+    CHECK(undelivered.empty());
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.callerLeavesBeforeItsAnswer.isReported")
+{
+    // Guards against answers that vanish without a line in the log.
+    handlingTime = 5s;
+    write(lookup);
+    runFor(20ms);
+    caller.close();
+    runFor(100ms);
+    CHECK(undelivered == std::vector { UndeliveredCause::CallerLeft });
+    CHECK(undeliveredId == "r1");
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.connectionsDropped.areReportedAsClosedByThisProcess")
+{
+    // Guards against a close by this process that the log blames on the caller.
+    handlingTime = 5s;
+    write(lookup);
+    runFor(20ms);
+    listener->dropConnections();
+    runFor(50ms);
+    CHECK(undelivered == std::vector { UndeliveredCause::ConnectionsDropped });
+    CHECK(undeliveredId == "r1");
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.callerThatDoesNotRead.isReportedWithTheTimerOfTheWrite")
+{
+    // Guards against a timer of this process that the log blames on the caller or the network.
+    body = std::string(32U << 20U, 'a');
+    limits.bodyTimeout = 50ms;
+    write(lookup);
+    runFor(300ms);
+    CHECK(undelivered == std::vector { UndeliveredCause::WriteTimer });
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.handlerWithoutAnAnswer.isReported")
+{
+    // Guards against a request that was handed on and whose connection ends without a line in the log.
+    givesNoAnswer = true;
+    read();
+    write(lookup);
+    runFor(50ms);
+    CHECK(received == "<end>");
+    CHECK(undelivered == std::vector { UndeliveredCause::NoAnswer });
+    CHECK(undeliveredId == "none");
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.resetWhileAnAnswerIsWritten.isReportedAsTheCallersClose")
+{
+    // Guards against a caller's reset that the log takes for a fault of the daemon.
+    body = std::string(32U << 20U, 'a');
+    write(lookup);
+    runFor(50ms);
+    caller.set_option(asio::socket_base::linger(true, 0));
+    caller.close();
+    runFor(100ms);
+    CHECK(undelivered == std::vector { UndeliveredCause::CallerLeft });
+}
