Let a timer that was re-armed or disarmed close nothing

Cause: a kept connection was closed under a request that had been handed on. The listener closed connections in the handler of an asio::steady_timer. Once the timer has expired, its handler waits in the loop's queue, and neither cancel() nor expires_after() takes it back. If the loop was held up so that the end of the idle time and a request were seen in one turn, the request was read and handed on, then the handler closed the connection.

Change: ExpiryTimer, whose expiry has no effect after it was armed anew, disarmed or destroyed; operations that completed before the expiry come first. At the end of the idle time a connection with bytes to read stays open, since its read is about to complete. A request whose connection was closed by this process before it was complete is not handed on.

Conclusion: only the timer that is armed at the time of its handler can close a connection.

--- /dev/null
+++ b/src/connection/expirytimer.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <carobjunction/process/clock.h>
+
+#include "connection/asio.h"
+
+#include <functional>
+#include <memory>
+
+namespace carobjunction
+{
+
+/**
+ * A timer that can be armed again and again. Once it is armed anew, disarmed or destroyed, an earlier expiry has no effect any more,
+ * even if its handler waits in the loop's queue already: asio::steady_timer can't take such a handler back. Used on one event loop;
+ * not thread-safe.
+ */
+class ExpiryTimer
+{
+public:
+    explicit ExpiryTimer(asio::io_context &loop) : m_timer(loop)
+    {
+    }
+
+    ~ExpiryTimer()
+    {
+        disarm();
+    }
+
+    ExpiryTimer(const ExpiryTimer &) = delete;
+    ExpiryTimer &operator=(const ExpiryTimer &) = delete;
+
+    /** @param onExpiry  called once at @p at, unless the timer is armed anew, disarmed or destroyed before */
+    void arm(TimePoint at, std::function<void()> onExpiry)
+    {
+        m_callback = std::make_shared<Callback>(std::move(onExpiry));
+        m_timer.expires_at(at);
+        m_timer.async_wait([this, armed = std::weak_ptr(m_callback)](ErrorCode error) {
+            if (!error && !armed.expired()) {
+                expire(armed);
+            }
+        });
+    }
+
+    void disarm()
+    {
+        m_callback.reset();
+        m_timer.cancel();
+    }
+
+private:
+    using Callback = std::function<void()>;
+
+    /** Operations that were completed before the expiry and wait in the loop's queue come first; they may disarm the timer. */
+    void expire(const std::weak_ptr<Callback> &armed)
+    {
+        asio::post(m_timer.get_executor(), [armed] {
+            if (const auto callback = armed.lock()) {
+                (*callback)();
+            }
+        });
+    }
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<Callback> m_callback; /**< Empty while disarmed. */
+};
+
+} // namespace carobjunction
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "connection/httplistener.h"
 
+#include "connection/expirytimer.h"
 #include "connection/socketoptions.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -71,12 +72,13 @@
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
     void closeAfter(Duration time, UndeliveredCause timer);
+    void closeWhenIdleFor(Duration time);
     void close(UndeliveredCause cause);
     void close();
 
     std::shared_ptr<HttpListener> m_listener;
     Tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    ExpiryTimer m_timer;
     beast::flat_buffer m_buffer;
     std::optional<UndeliveredCause> m_closedBy; /**< What in this process closed the connection. */
     CancellationPtr m_cancellation; /**< Of the request that is being answered. */
@@ -100,10 +102,16 @@
 
 void HttpListener::Session::closeAfter(Duration time, UndeliveredCause timer)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([self = shared_from_this(), timer](ErrorCode error) {
-        if (!error) {
-            self->close(timer);
+    // The session disarms the timer before it ends, so the callback needn't keep it alive.
+    m_timer.arm(SteadyClock().now() + time, [this, timer] { close(timer); });
+}
+
+/** A connection whose next request has arrived by the expiry is not idle: its read is about to complete. */
+void HttpListener::Session::closeWhenIdleFor(Duration time)
+{
+    m_timer.arm(SteadyClock().now() + time, [this] {
+        if (!hasBytesToRead(m_socket)) {
+            close(UndeliveredCause::IdleTimer);
         }
     });
 }
@@ -112,7 +120,7 @@
 {
     const auto self = shared_from_this();
     while (co_await serveOne()) { }
-    m_timer.cancel();
+    m_timer.disarm();
     close();
     m_listener->m_sessions.erase(self);
 }
@@ -127,7 +135,8 @@
         co_return false;
     }
     m_isBusy = true;
-    if (!co_await readBody(parser, limits)) {
+    // A request whose connection was closed in the turn of its arrival is not handed on: nobody would get the answer.
+    if (!co_await readBody(parser, limits) || m_closedBy) {
         co_return false;
     }
     ++m_listener->m_activeRequests;
@@ -141,7 +150,7 @@
 {
     ErrorCode error;
     if (m_buffer.size() == 0) {
-        closeAfter(limits.idleTimeout, UndeliveredCause::IdleTimer);
+        closeWhenIdleFor(limits.idleTimeout);
         co_await m_socket.async_wait(Tcp::socket::wait_read, into(error));
     }
     if (error) {
@@ -149,7 +158,7 @@
     }
     closeAfter(limits.headerTimeout, UndeliveredCause::HeaderTimer);
     co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_return true;
     }
@@ -169,7 +178,7 @@
     }
     closeAfter(limits.bodyTimeout, UndeliveredCause::BodyTimer);
     co_await http::async_read(m_socket, m_buffer, parser, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_return true;
     }
@@ -231,7 +240,7 @@
     } else {
         co_await http::async_write(m_socket, response, into(error));
     }
-    m_timer.cancel();
+    m_timer.disarm();
     co_return error;
 }
 
@@ -276,7 +285,7 @@
     ErrorCode error;
     closeAfter(LingerTime, UndeliveredCause::WriteTimer);
     co_await http::async_write(m_socket, response, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_await linger();
     }
@@ -292,7 +301,7 @@
     while (!error) {
         co_await m_socket.async_read_some(asio::buffer(unread), into(error));
     }
-    m_timer.cancel();
+    m_timer.disarm();
 }
 
 HttpListener::HttpListener(asio::io_context &loop, ClientRequestHandler handler, std::function<ListenerLimits()> limits)
--- a/src/connection/socketoptions.cpp
+++ b/src/connection/socketoptions.cpp
@@ -46,6 +46,11 @@
     return peek(socket) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool hasBytesToRead(Tcp::socket &socket)
+{
+    return peek(socket) > 0;
+}
+
 bool isClosedByPeer(Tcp::socket &socket)
 {
     const ssize_t result = peek(socket);
--- a/tests/connection/httplistenerclosetest.cpp
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -70,3 +70,50 @@
     runFor(100ms);
     CHECK(undelivered == std::vector { UndeliveredCause::CallerLeft });
 }
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.requestReadInTheTurnOfTheIdleTimersExpiry.isAnswered")
+{
+    // Guards against a timer that has expired, but was re-armed or disarmed since, and closes the connection under a request.
+    limits.idleTimeout = 200ms;
+    handlingTime = 50ms;
+    read();
+    write(lookup);
+    runFor(100ms);
+    REQUIRE(received.ends_with("done"));
+    received.clear();
+    holdUp(300ms, lookup);
+    runFor(500ms);
+    CHECK(handled == 2);
+    CHECK(undelivered.empty());
+    CHECK(received.find("done") != std::string::npos);
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.requestThatArrivesAfterTheIdleTimersExpiry.isAnswered")
+{
+    // Guards against a connection that is closed as idle although a request waits in the socket: the timer's handler is in the queue first.
+    limits.idleTimeout = 200ms;
+    read();
+    write(lookup);
+    runFor(100ms);
+    REQUIRE(received.ends_with("done"));
+    received.clear();
+    // Expires in the same turn as the idle timer and before it, so the request is sent when the idle timer's handler waits in the queue.
+    asio::steady_timer before(loop, 20ms);
+    before.async_wait([&](ErrorCode) { write(lookup); });
+    holdUp(300ms, "");
+    runFor(500ms);
+    CHECK(undelivered.empty());
+    CHECK(received.find("done") != std::string::npos);
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.idleConnection.isClosedAtItsTime")
+{
+    // Guards against idle connections that stay open.
+    limits.idleTimeout = 100ms;
+    read();
+    write(lookup);
+    runFor(50ms);
+    REQUIRE(received.ends_with("done"));
+    runFor(150ms);
+    CHECK(received.ends_with("<end>"));
+}
