Answer requests that have arrived when the port is closed

Cause: close() took a connection for idle until its session had gone on after the header was read. Bytes in the socket, a part of a header, a read that had completed in the same turn, and connections that the kernel had accepted were cut. CallerServer stopped its loop as soon as no request was counted, which is after the body was read; VmDaemon did the same after its close time.

Change: a session has a request from its first byte, also while only the kernel has it. close() accepts what waits, closes connections without a byte of a request and makes further answers closing ones; a connection that becomes idle later ends at once instead of after the idle time. openRequests() counts requests from their first byte; CallerServer and VmDaemon wait for it. The time limits on header and body bound that wait.

Conclusion: what is closed has sent no byte of a request. Bytes on their way at that moment can still meet a closed connection.

--- a/src/connection/callerserver.cpp
+++ b/src/connection/callerserver.cpp
@@ -236,11 +236,11 @@
     m_listener->announceClose();
     m_listener->close();
     asio::steady_timer timer(m_loop);
-    while (m_listener->activeRequests() > 0) {
+    do {
         timer.expires_after(StopCheckInterval);
         ErrorCode ignored; // the timer is not cancelled
         co_await timer.async_wait(into(ignored));
-    }
+    } while (m_listener->openRequests() > 0);
     m_loop.stop();
 }
 
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fcntl.h>
 
@@ -36,11 +37,17 @@
 
     void closeIfIdle()
     {
-        if (!m_isBusy) {
+        if (!hasRequest()) {
             close(UndeliveredCause::ListenerClosed);
         }
     }
 
+    /** @return whether a request has begun to arrive and is not answered */
+    bool hasRequest()
+    {
+        return m_isBusy || m_buffer.size() > 0 || hasBytesToRead(m_socket);
+    }
+
     void drop()
     {
         close(UndeliveredCause::ConnectionsDropped);
@@ -82,7 +89,7 @@
     beast::flat_buffer m_buffer;
     std::optional<UndeliveredCause> m_closedBy; /**< What in this process closed the connection. */
     CancellationPtr m_cancellation; /**< Of the request that is being answered. */
-    bool m_isBusy = false;
+    bool m_isBusy = false; /**< From the first byte of a request to the end of its answer. */
     bool m_isAborted = false; /**< The process ends, not the client's interest. */
 };
 
@@ -134,7 +141,6 @@
     if (!co_await readHeader(parser, limits)) {
         co_return false;
     }
-    m_isBusy = true;
     // A request whose connection was closed in the turn of its arrival is not handed on: nobody would get the answer.
     if (!co_await readBody(parser, limits) || m_closedBy) {
         co_return false;
@@ -149,6 +155,9 @@
 Task<bool> HttpListener::Session::readHeader(Parser &parser, const ListenerLimits &limits)
 {
     ErrorCode error;
+    if (!m_listener->m_acceptor.is_open() && !hasRequest()) {
+        co_return false;
+    }
     if (m_buffer.size() == 0) {
         closeWhenIdleFor(limits.idleTimeout);
         co_await m_socket.async_wait(Tcp::socket::wait_read, into(error));
@@ -156,6 +165,7 @@
     if (error) {
         co_return false;
     }
+    m_isBusy = true;
     closeAfter(limits.headerTimeout, UndeliveredCause::HeaderTimer);
     co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
     m_timer.disarm();
@@ -348,25 +358,45 @@
     while (m_acceptor.is_open()) {
         ErrorCode error;
         Tcp::socket socket = co_await m_acceptor.async_accept(into(error));
-        if (!m_acceptor.is_open()) {
-            co_return;
-        }
-        if (error) {
+        if (!error) {
+            serve(std::move(socket));
+        } else if (m_acceptor.is_open()) {
             pause.expires_after(AcceptRetry);
             co_await pause.async_wait(into(error));
-            continue;
         }
-        if (m_sessions.size() >= m_limits().connections) {
-            continue; // the socket closes
+    }
+}
+
+/** Connections that the kernel has accepted already would be reset together with their requests. */
+void HttpListener::acceptWaiting()
+{
+    ErrorCode error;
+    m_acceptor.non_blocking(true, error);
+    for (int i = 0; i < Backlog && !error; ++i) {
+        Tcp::socket socket = m_acceptor.accept(error);
+        if (!error) {
+            serve(std::move(socket));
         }
-        setLivenessOptions(socket);
-        auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
-        m_sessions.insert(session);
-        asio::co_spawn(
-            m_loop, [session]() -> Task<void> { co_await session->run(); }, asio::detached);
     }
 }
 
+void HttpListener::serve(Tcp::socket socket)
+{
+    if (m_sessions.size() >= m_limits().connections) {
+        return; // the socket closes
+    }
+    setLivenessOptions(socket);
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
+    m_sessions.insert(session);
+    asio::co_spawn(
+        m_loop, [session]() -> Task<void> { co_await session->run(); }, asio::detached);
+}
+
+size_t HttpListener::openRequests() const
+{
+    return static_cast<size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &session) { return session->hasRequest(); }));
+}
+
 void HttpListener::abortRequests()
 {
     const auto sessions = m_sessions;
@@ -377,6 +407,10 @@
 
 void HttpListener::close()
 {
+    announceClose();
+    if (m_acceptor.is_open()) {
+        acceptWaiting();
+    }
     ErrorCode ignored; // nothing is left to do if the port can't be closed
     m_acceptor.close(ignored);
     const auto sessions = m_sessions;
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -76,7 +76,10 @@
     /** Ends the work on all requests; they are answered with what is known. For the end of the process. */
     void abortRequests();
 
-    /** Closes the port and the connections that have no request. */
+    /**
+     * Closes the port and the connections that have no byte of a request. Requests that have arrived, in whole or in part, are answered;
+     * the answers tell clients that their connection is closed after them.
+     */
     void close();
 
     /** Closes all connections, answered or not. */
@@ -88,6 +91,9 @@
         return m_activeRequests;
     }
 
+    /** @return requests that have begun to arrive and are not answered yet, also where only the kernel has their bytes */
+    size_t openRequests() const;
+
     Tcp::endpoint address() const
     {
         return m_acceptor.local_endpoint();
@@ -98,6 +104,8 @@
 
     HttpListener(asio::io_context &loop, ClientRequestHandler handler, std::function<ListenerLimits()> limits);
     Task<void> accept();
+    void acceptWaiting();
+    void serve(Tcp::socket socket);
 
     asio::io_context &m_loop;
     Tcp::acceptor m_acceptor;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -318,6 +318,11 @@
         return m_callerPort->activeRequests() + m_peerPort->activeRequests();
     }
 
+    size_t openRequests() const
+    {
+        return m_callerPort->openRequests() + m_peerPort->openRequests();
+    }
+
     void scheduleTick()
     {
         m_tick.expires_after(TickInterval);
@@ -353,7 +358,7 @@
             m_peerPort->close();
             m_closedAt = SteadyClock().now();
         }
-        const bool isDrained = m_closedAt && activeRequests() == 0 && SteadyClock().now() - *m_closedAt >= CloseTime;
+        const bool isDrained = m_closedAt && openRequests() == 0 && SteadyClock().now() - *m_closedAt >= CloseTime;
         if (since >= grace * AbortShare) {
             m_callerPort->abortRequests();
             m_peerPort->abortRequests();
--- a/tests/connection/httplistenerclosetest.cpp
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -117,3 +117,93 @@
     runFor(150ms);
     CHECK(received.ends_with("<end>"));
 }
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeWithARequestInTheSocket.answersItAndCloses")
+{
+    // Guards against requests that are cut because the loop has not seen their bytes yet when the port is closed.
+    read();
+    write(lookup);
+    runFor(50ms);
+    REQUIRE(received.ends_with("done"));
+    received.clear();
+    write(lookup);
+    listener->close();
+    runFor(100ms);
+    CHECK(handled == 2);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.ends_with("done<end>"));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeWithAPartOfARequest.answersItAndCloses")
+{
+    // Guards against requests that are cut because their header is not complete when the port is closed.
+    read();
+    write("GET /a HTTP/1.1\r\nHo");
+    runFor(50ms);
+    listener->close();
+    runFor(20ms);
+    write("st: h\r\n\r\n");
+    runFor(100ms);
+    CHECK(handled == 1);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.ends_with("done<end>"));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeInTheTurnOfARead.answersTheRequest")
+{
+    // Guards against a request whose read has completed, but whose session has not gone on yet when the port is closed.
+    read();
+    write(lookup);
+    runFor(50ms);
+    REQUIRE(received.ends_with("done"));
+    received.clear();
+    // The timer expires in the turn in which the read completes; its handler comes after the one of the read and before the session.
+    asio::steady_timer turn(loop, 20ms);
+    turn.async_wait([&](ErrorCode) { listener->close(); });
+    holdUp(50ms, lookup);
+    runFor(150ms);
+    CHECK(handled == 2);
+    CHECK(undelivered.empty());
+    CHECK(received.ends_with("done<end>"));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeWhileTheSocketIsWithoutBytes.closesTheConnection")
+{
+    // Guards against idle connections that hold up the end of the process.
+    read();
+    write(lookup);
+    runFor(50ms);
+    listener->close();
+    runFor(50ms);
+    CHECK(received.ends_with("done<end>"));
+    CHECK(listener->openRequests() == 0);
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeWhileAnAnswerIsWritten.closesTheConnectionAfterIt")
+{
+    // Guards against a connection that becomes idle after the port was closed and then stays open for the idle time.
+    body = std::string(32U << 20U, 'a');
+    write(lookup);
+    runFor(50ms);
+    listener->close();
+    read();
+    runFor(500ms);
+    CHECK(received.size() > body.size());
+    CHECK(received.ends_with("a<end>"));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.closeWithAConnectionThatWaitsToBeAccepted.answersItsRequest")
+{
+    // Guards against requests on new connections that are reset because the loop has not accepted them when the port is closed.
+    Tcp::socket other(loop);
+    other.connect(listener->address());
+    asio::write(other, asio::buffer(lookup));
+    listener->close();
+    CHECK(listener->openRequests() == 1);
+    runFor(50ms);
+    ErrorCode error;
+    std::array<char, 4096> bytes {};
+    other.non_blocking(true);
+    const size_t size = other.read_some(asio::buffer(bytes), error);
+    CHECK(std::string(bytes.data(), size).ends_with("done"));
+}
