Let a destroyed connection timer end no connection

Cause: the callback of ConnectionTimer could run after the timer's destruction when the time had come in the same turn of the loop. An exchange that had its answer then lost its connection, which was back in the pool or carried the next request.

Change: ConnectionTimer is an ExpiryTimer that is armed once. The other waits on timers in src/, platform/ and daemon/ were read: they wake coroutines which look at their state again, and close nothing.

Conclusion: after the end of its scope a timer has no effect.

--- a/src/connection/connectiontimer.h
+++ b/src/connection/connectiontimer.h
@@ -1,29 +1,21 @@
 #pragma once
 
-#include <carobjunction/process/clock.h>
-
-#include "connection/asio.h"
-
-#include <functional>
+#include "connection/expirytimer.h"
 
 namespace carobjunction
 {
 
-/** Ends a connection at a point in time, unless it is destroyed before. */
+/** Ends a connection at a point in time, unless it is destroyed before, also in the turn of the loop in which the time has come. */
 class ConnectionTimer
 {
 public:
-    ConnectionTimer(asio::io_context &loop, TimePoint at, std::function<void()> onExpiry) : m_timer(loop, at)
+    ConnectionTimer(asio::io_context &loop, TimePoint at, std::function<void()> onExpiry) : m_timer(loop)
     {
-        m_timer.async_wait([callback = std::move(onExpiry)](ErrorCode error) {
-            if (!error) {
-                callback();
-            }
-        });
+        m_timer.arm(at, std::move(onExpiry));
     }
 
 private:
-    asio::steady_timer m_timer;
+    ExpiryTimer m_timer;
 };
 
 } // namespace carobjunction
