--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "connection/httplistener.h"
 
+#include "connection/expirytimer.h"
 #include "connection/socketoptions.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fcntl.h>
 
@@ -35,14 +37,20 @@
 
     void closeIfIdle()
     {
-        if (!m_isBusy) {
-            close();
+        if (!hasRequest()) {
+            close(UndeliveredCause::ListenerClosed);
         }
     }
 
+    /** @return whether a request has begun to arrive and is not answered */
+    bool hasRequest()
+    {
+        return m_isBusy || m_buffer.size() > 0 || hasBytesToRead(m_socket);
+    }
+
     void drop()
     {
-        close();
+        close(UndeliveredCause::ConnectionsDropped);
         if (m_cancellation) {
             m_cancellation->request();
         }
@@ -63,34 +71,54 @@
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
     Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
     Task<bool> answer(HttpRequest request);
+    Task<ErrorCode> write(HttpResponse &response, bool isHead);
+    UndeliveredCause causeOf(ErrorCode writeError) const;
+    void reportUndelivered(const HttpResponse *response, UndeliveredCause cause);
     Task<void> rejectUnreadable(ErrorCode error);
     Task<void> reject(http::status status);
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
-    void closeAfter(Duration time);
+    void closeAfter(Duration time, UndeliveredCause timer);
+    void closeWhenIdleFor(Duration time);
+    void close(UndeliveredCause cause);
     void close();
 
     std::shared_ptr<HttpListener> m_listener;
     Tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    ExpiryTimer m_timer;
     beast::flat_buffer m_buffer;
+    std::optional<UndeliveredCause> m_closedBy; /**< What in this process closed the connection. */
     CancellationPtr m_cancellation; /**< Of the request that is being answered. */
-    bool m_isBusy = false;
+    bool m_isBusy = false; /**< From the first byte of a request to the end of its answer. */
     bool m_isAborted = false; /**< The process ends, not the client's interest. */
 };
 
+void HttpListener::Session::close(UndeliveredCause cause)
+{
+    if (!m_closedBy) {
+        m_closedBy = cause;
+    }
+    close();
+}
+
 void HttpListener::Session::close()
 {
     ErrorCode ignored; // the connection is given up in any case
     m_socket.close(ignored);
 }
 
-void HttpListener::Session::closeAfter(Duration time)
+void HttpListener::Session::closeAfter(Duration time, UndeliveredCause timer)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
-        if (!error) {
-            self->close();
+    // The session disarms the timer before it ends, so the callback needn't keep it alive.
+    m_timer.arm(SteadyClock().now() + time, [this, timer] { close(timer); });
+}
+
+/** A connection whose next request has arrived by the expiry is not idle: its read is about to complete. */
+void HttpListener::Session::closeWhenIdleFor(Duration time)
+{
+    m_timer.arm(SteadyClock().now() + time, [this] {
+        if (!hasBytesToRead(m_socket)) {
+            close(UndeliveredCause::IdleTimer);
         }
     });
 }
@@ -99,7 +127,7 @@
 {
     const auto self = shared_from_this();
     while (co_await serveOne()) { }
-    m_timer.cancel();
+    m_timer.disarm();
     close();
     m_listener->m_sessions.erase(self);
 }
@@ -113,8 +141,8 @@
     if (!co_await readHeader(parser, limits)) {
         co_return false;
     }
-    m_isBusy = true;
-    if (!co_await readBody(parser, limits)) {
+    // A request whose connection was closed in the turn of its arrival is not handed on: nobody would get the answer.
+    if (!co_await readBody(parser, limits) || m_closedBy) {
         co_return false;
     }
     ++m_listener->m_activeRequests;
@@ -127,16 +155,20 @@
 Task<bool> HttpListener::Session::readHeader(Parser &parser, const ListenerLimits &limits)
 {
     ErrorCode error;
+    if (!m_listener->m_acceptor.is_open() && !hasRequest()) {
+        co_return false;
+    }
     if (m_buffer.size() == 0) {
-        closeAfter(limits.idleTimeout);
+        closeWhenIdleFor(limits.idleTimeout);
         co_await m_socket.async_wait(Tcp::socket::wait_read, into(error));
     }
     if (error) {
         co_return false;
     }
-    closeAfter(limits.headerTimeout);
+    m_isBusy = true;
+    closeAfter(limits.headerTimeout, UndeliveredCause::HeaderTimer);
     co_await http::async_read_header(m_socket, m_buffer, parser, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_return true;
     }
@@ -154,9 +186,9 @@
         http::response<http::string_body> interim(http::status::continue_, parser.get().version());
         co_await http::async_write(m_socket, interim, into(error));
     }
-    closeAfter(limits.bodyTimeout);
+    closeAfter(limits.bodyTimeout, UndeliveredCause::BodyTimer);
     co_await http::async_read(m_socket, m_buffer, parser, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_return true;
     }
@@ -190,6 +222,8 @@
     m_cancellation.reset();
     const bool hasLeft = cancellation->isRequested() && !m_isAborted;
     if (!response || hasLeft || error) {
+        const bool isMissing = !response && !m_closedBy && !hasLeft;
+        reportUndelivered(response ? &*response : nullptr, isMissing ? UndeliveredCause::NoAnswer : causeOf(error));
         co_return false;
     }
     const bool isKept = wantsKeepAlive && !m_listener->m_isClosing;
@@ -197,18 +231,44 @@
     if (!isHead) {
         response->prepare_payload();
     }
-    closeAfter(m_listener->m_limits().bodyTimeout);
+    error = co_await write(*response, isHead);
+    if (error) {
+        reportUndelivered(&*response, causeOf(error));
+    } else if (!isKept) {
+        co_await linger();
+    }
+    co_return !error && isKept;
+}
+
+Task<ErrorCode> HttpListener::Session::write(HttpResponse &response, bool isHead)
+{
+    ErrorCode error;
+    closeAfter(m_listener->m_limits().bodyTimeout, UndeliveredCause::WriteTimer);
     if (isHead) {
-        http::response<http::empty_body> head(std::move(response->base()));
+        http::response<http::empty_body> head(response.base());
         co_await http::async_write(m_socket, head, into(error));
     } else {
-        co_await http::async_write(m_socket, *response, into(error));
+        co_await http::async_write(m_socket, response, into(error));
     }
-    m_timer.cancel();
-    if (!error && !isKept) {
-        co_await linger();
+    m_timer.disarm();
+    co_return error;
+}
+
+/** A close by this process counts before what it brings about: the end of the handler's work and the error of the write. */
+UndeliveredCause HttpListener::Session::causeOf(ErrorCode writeError) const
+{
+    if (m_closedBy) {
+        return *m_closedBy;
+    }
+    const bool isPeersClose = !writeError || writeError == asio::error::connection_reset || writeError == asio::error::broken_pipe;
+    return isPeersClose ? UndeliveredCause::CallerLeft : UndeliveredCause::WriteFailed;
+}
+
+void HttpListener::Session::reportUndelivered(const HttpResponse *response, UndeliveredCause cause)
+{
+    if (m_listener->m_reportUndelivered) {
+        m_listener->m_reportUndelivered(response, cause);
     }
-    co_return !error && isKept;
 }
 
 /** Tells the client why its message could not be read. A connection that has just ended gets no answer. */
@@ -233,9 +293,9 @@
     response.keep_alive(false);
     response.prepare_payload();
     ErrorCode error;
-    closeAfter(LingerTime);
+    closeAfter(LingerTime, UndeliveredCause::WriteTimer);
     co_await http::async_write(m_socket, response, into(error));
-    m_timer.cancel();
+    m_timer.disarm();
     if (!error) {
         co_await linger();
     }
@@ -246,12 +306,12 @@
 {
     ErrorCode error;
     m_socket.shutdown(Tcp::socket::shutdown_send, error);
-    closeAfter(LingerTime);
+    closeAfter(LingerTime, UndeliveredCause::LingerTimer);
     std::array<char, 4096> unread {};
     while (!error) {
         co_await m_socket.async_read_some(asio::buffer(unread), into(error));
     }
-    m_timer.cancel();
+    m_timer.disarm();
 }
 
 HttpListener::HttpListener(asio::io_context &loop, ClientRequestHandler handler, std::function<ListenerLimits()> limits)
@@ -298,25 +358,45 @@
     while (m_acceptor.is_open()) {
         ErrorCode error;
         Tcp::socket socket = co_await m_acceptor.async_accept(into(error));
-        if (!m_acceptor.is_open()) {
-            co_return;
-        }
-        if (error) {
+        if (!error) {
+            serve(std::move(socket));
+        } else if (m_acceptor.is_open()) {
             pause.expires_after(AcceptRetry);
             co_await pause.async_wait(into(error));
-            continue;
         }
-        if (m_sessions.size() >= m_limits().connections) {
-            continue; // the socket closes
+    }
+}
+
+/** Connections that the kernel has accepted already would be reset together with their requests. */
+void HttpListener::acceptWaiting()
+{
+    ErrorCode error;
+    m_acceptor.non_blocking(true, error);
+    for (int i = 0; i < Backlog && !error; ++i) {
+        Tcp::socket socket = m_acceptor.accept(error);
+        if (!error) {
+            serve(std::move(socket));
         }
-        setLivenessOptions(socket);
-        auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
-        m_sessions.insert(session);
-        asio::co_spawn(
-            m_loop, [session]() -> Task<void> { co_await session->run(); }, asio::detached);
     }
 }
 
+void HttpListener::serve(Tcp::socket socket)
+{
+    if (m_sessions.size() >= m_limits().connections) {
+        return; // the socket closes
+    }
+    setLivenessOptions(socket);
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
+    m_sessions.insert(session);
+    asio::co_spawn(
+        m_loop, [session]() -> Task<void> { co_await session->run(); }, asio::detached);
+}
+
+size_t HttpListener::openRequests() const
+{
+    return static_cast<size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &session) { return session->hasRequest(); }));
+}
+
 void HttpListener::abortRequests()
 {
     const auto sessions = m_sessions;
@@ -327,6 +407,10 @@
 
 void HttpListener::close()
 {
+    announceClose();
+    if (m_acceptor.is_open()) {
+        acceptWaiting();
+    }
     ErrorCode ignored; // nothing is left to do if the port can't be closed
     m_acceptor.close(ignored);
     const auto sessions = m_sessions;
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/clock.h>
 
 #include "connection/asio.h"
+#include "connection/undeliveredcause.h"
 #include "request/cancellation.h"
 
 #include <functional>
@@ -57,6 +58,15 @@
         m_completeRejection = std::move(complete);
     }
 
+    /**
+     * @param report  called once for each request that was handed to the handler and whose answer did not reach the caller whole. The
+     *                answer is null if the handler gave none
+     */
+    void setUndeliveredHook(std::function<void(const HttpResponse *, UndeliveredCause)> report)
+    {
+        m_reportUndelivered = std::move(report);
+    }
+
     /** Answers from now on tell clients that their connection is closed after them. */
     void announceClose()
     {
@@ -66,7 +76,10 @@
     /** Ends the work on all requests; they are answered with what is known. For the end of the process. */
     void abortRequests();
 
-    /** Closes the port and the connections that have no request. */
+    /**
+     * Closes the port and the connections that have no byte of a request. Requests that have arrived, in whole or in part, are answered;
+     * the answers tell clients that their connection is closed after them.
+     */
     void close();
 
     /** Closes all connections, answered or not. */
@@ -78,6 +91,9 @@
         return m_activeRequests;
     }
 
+    /** @return requests that have begun to arrive and are not answered yet, also where only the kernel has their bytes */
+    size_t openRequests() const;
+
     Tcp::endpoint address() const
     {
         return m_acceptor.local_endpoint();
@@ -88,11 +104,14 @@
 
     HttpListener(asio::io_context &loop, ClientRequestHandler handler, std::function<ListenerLimits()> limits);
     Task<void> accept();
+    void acceptWaiting();
+    void serve(Tcp::socket socket);
 
     asio::io_context &m_loop;
     Tcp::acceptor m_acceptor;
     ClientRequestHandler m_handler;
     std::function<void(HttpResponse &)> m_completeRejection;
+    std::function<void(const HttpResponse *, UndeliveredCause)> m_reportUndelivered;
     std::function<ListenerLimits()> m_limits;
     std::set<std::shared_ptr<Session>> m_sessions;
     size_t m_activeRequests = 0;
