Call no cancellation callback whose registration has ended

Cause: Cancellation::request() walked over a copy of the callbacks, so a callback ran although an earlier one had ended its registration, and used objects that end together with it.

Change: each step looks for the next callback that is still registered. What registers during the request is not called, as before.

Measured: before, Cancellation.registrationThatEndsInACallback failed (called 1, 2, 3 instead of 1, 3). After, all Cancellation.* passed.

Conclusion: a callback runs only within the lifetime of its registration.

--- a/src/request/cancellation.h
+++ b/src/request/cancellation.h
@@ -31,16 +31,20 @@
         int m_id;
     };
 
-    /** Calls all callbacks, once. */
+    /** Calls the callbacks that are registered, once and in the order of their registration. One that ends meanwhile is not called. */
     void request()
     {
         if (m_isRequested) {
             return;
         }
         m_isRequested = true;
-        const auto callbacks = m_callbacks;
-        for (const auto &[id, callback] : callbacks) {
+        const int last = m_lastId; // what registers during the request is not called
+        auto next = m_callbacks.begin();
+        while (next != m_callbacks.end() && next->first <= last) {
+            const int id = next->first;
+            const auto callback = next->second; // outlives its registration, which may end in the call
             callback();
+            next = m_callbacks.upper_bound(id);
         }
     }
 
--- /dev/null
+++ b/tests/request/cancellationtest.cpp
@@ -0,0 +1,60 @@
+#include "request/cancellation.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <vector>
+
+using namespace carobjunction;
+
+TEST_CASE("Cancellation.request.callsEachCallbackOnce")
+{
+    Cancellation cancellation;
+    std::vector<int> called;
+    const Cancellation::Registration first(cancellation, [&] { called.push_back(1); });
+    const Cancellation::Registration second(cancellation, [&] { called.push_back(2); });
+    cancellation.request();
+    cancellation.request();
+    CHECK(called == std::vector { 1, 2 });
+}
+
+TEST_CASE("Cancellation.registrationThatEndsInACallback.isNotCalled")
+{
+    // Guards against a callback that uses what ended together with its registration.
+    Cancellation cancellation;
+    std::vector<int> called;
+    std::optional<Cancellation::Registration> second;
+    const Cancellation::Registration first(cancellation, [&] {
+        called.push_back(1);
+        second.reset();
+    });
+    second.emplace(cancellation, [&] { called.push_back(2); });
+    const Cancellation::Registration third(cancellation, [&] { called.push_back(3); });
+    cancellation.request();
+    CHECK(called == std::vector { 1, 3 });
+}
+
+TEST_CASE("Cancellation.registrationThatEndsInItsOwnCallback.isCalledOnce")
+{
+    // Guards against a callback that is destroyed while it runs.
+    Cancellation cancellation;
+    int called = 0;
+    std::optional<Cancellation::Registration> own;
+    own.emplace(cancellation, [&own, &called] {
+        own.reset();
+        ++called;
+    });
+    cancellation.request();
+    CHECK(called == 1);
+}
+
+TEST_CASE("Cancellation.registrationDuringTheRequest.isNotCalled")
+{
+    // Guards against a request that calls what begins in answer to it, without end.
+    Cancellation cancellation;
+    int called = 0;
+    std::optional<Cancellation::Registration> added;
+    const Cancellation::Registration first(cancellation, [&] { added.emplace(cancellation, [&] { ++called; }); });
+    cancellation.request();
+    CHECK(called == 0);
+}
