Write an answer also to a caller that seems to have left

Cause: isClosedByPeer() takes the end of the stream for a caller who left, and so any error of the socket, such as that of a socket which this process has closed. The answer that the handler gave then was dropped. A caller that shuts down only its sending side after its request waited for it in vain.

Change: at the end of the stream the work is still cancelled at once: a full close can't be told from a half close, work for callers that left must stop within half a second, and a delay would add up over the two daemons on the way. But whatever the handler answers is written, as a closing answer; if the caller has gone, the kernel is told so by a reset and nothing is lost. A caller that ended only its sending side thus learns the outcome, which may be that of a cancelled request. Errors that say nothing about the other end no longer count as its close. The event answer-undelivered is written for such an answer if the connection was reset by the time it is closed.

Conclusion: an answer that is ready is dropped only if this process has closed the connection.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -221,22 +221,24 @@
     m_socket.cancel(error);
     m_cancellation.reset();
     const bool hasLeft = cancellation->isRequested() && !m_isAborted;
-    if (!response || hasLeft || error) {
+    if (!response || m_closedBy || error) {
         const bool isMissing = !response && !m_closedBy && !hasLeft;
         reportUndelivered(response ? &*response : nullptr, isMissing ? UndeliveredCause::NoAnswer : causeOf(error));
         co_return false;
     }
-    const bool isKept = wantsKeepAlive && !m_listener->m_isClosing;
+    // The answer is written also if the caller seems to have left: it may have ended its sending side only.
+    const bool isKept = wantsKeepAlive && !hasLeft && !m_listener->m_isClosing;
     response->keep_alive(isKept);
     if (!isHead) {
         response->prepare_payload();
     }
     error = co_await write(*response, isHead);
-    if (error) {
-        reportUndelivered(&*response, causeOf(error));
-    } else if (!isKept) {
+    if (!error && !isKept) {
         co_await linger();
     }
+    if (error || (hasLeft && takeError(m_socket))) {
+        reportUndelivered(&*response, causeOf(error));
+    }
     co_return !error && isKept;
 }
 
--- a/src/connection/socketoptions.cpp
+++ b/src/connection/socketoptions.cpp
@@ -29,6 +29,12 @@
     return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+/** A socket that this process has closed, an interrupted call and a lack of memory say nothing about the other end. */
+bool isEndOfConnection(int error)
+{
+    return error != EAGAIN && error != EWOULDBLOCK && error != EINTR && error != ENOMEM && error != ENOBUFS && error != EBADF;
+}
+
 } // namespace
 
 void setLivenessOptions(Tcp::socket &socket)
@@ -54,7 +60,14 @@
 bool isClosedByPeer(Tcp::socket &socket)
 {
     const ssize_t result = peek(socket);
-    return result == 0 || (result < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    return result == 0 || (result < 0 && isEndOfConnection(errno));
+}
+
+bool takeError(Tcp::socket &socket)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
 }
 
 } // namespace carobjunction
--- a/src/connection/socketoptions.h
+++ b/src/connection/socketoptions.h
@@ -14,7 +14,13 @@
 /** @return whether the socket has bytes that were not read yet; false at the end of the stream */
 bool hasBytesToRead(Tcp::socket &socket);
 
-/** @return whether the other end has closed the connection, or reset it */
+/**
+ * A caller that has ended only its sending side can't be told from one that has closed: both show as the end of the stream.
+ * @return whether the other end has ended its stream or reset the connection, or the network has given it up
+ */
 bool isClosedByPeer(Tcp::socket &socket);
 
+/** @return whether an error of the connection is pending, such as a reset after a write. Takes the error from the socket */
+bool takeError(Tcp::socket &socket);
+
 } // namespace carobjunction
--- a/tests/connection/httplistenerclosefixture.h
+++ b/tests/connection/httplistenerclosefixture.h
@@ -2,6 +2,7 @@
 
 #include "connection/httplistenerfixture.h"
 
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,9 +20,10 @@
             loop,
             Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0),
             [this](HttpRequest request, CancellationPtr cancellation) { return respond(std::move(request), std::move(cancellation)); },
-            [this] { return limits; },
+            [this] { return limitsOrFault(); },
             error);
         REQUIRE(listener != nullptr);
+        listener->setRejectionHook([](HttpResponse &response) { response.set("Not-Run", "yes"); });
         listener->setUndeliveredHook([this](const HttpResponse *response, UndeliveredCause cause) {
             undelivered.push_back(cause);
             undeliveredId = response == nullptr ? "none" : std::string((*response)["Id"]);
@@ -35,12 +37,24 @@
         MaybeResponse response = co_await handle(std::move(request), std::move(cancellation));
         response->set("Id", "r" + std::to_string(handled));
         response->body() = body;
+        if (throwsFault) {
+            throw std::runtime_error("fault of a handler");
+        }
         if (givesNoAnswer) {
             response.reset();
         }
         co_return response;
     }
 
+    /** With throwsInLimits, the limits of the next request can't be told; those of the write of an answer can. */
+    ListenerLimits limitsOrFault()
+    {
+        if (throwsInLimits && ++limitsAsked == 2) {
+            throw std::runtime_error("fault of the limits");
+        }
+        return limits;
+    }
+
     void runFor(Duration time)
     {
         loop.restart();
@@ -90,6 +104,9 @@
     std::vector<UndeliveredCause> undelivered;
     std::string undeliveredId;
     bool givesNoAnswer = false;
+    bool throwsFault = false;
+    bool throwsInLimits = false;
+    int limitsAsked = 0;
 
 private:
     std::array<char, 4096> m_bytes {};
--- a/tests/connection/httplistenerclosetest.cpp
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -1,5 +1,7 @@
 #include "connection/httplistenerclosefixture.h"
 
+#include "connection/socketoptions.h"
+
 using namespace carobjunction;
 using namespace std::chrono_literals;
 
@@ -207,3 +209,36 @@
     const size_t size = other.read_some(asio::buffer(bytes), error);
     CHECK(std::string(bytes.data(), size).ends_with("done"));
 }
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.callerThatEndsItsSendingSide.getsItsAnswer")
+{
+    // Guards against an answer that is dropped because the end of the caller's stream is taken for the end of its interest.
+    handlingTime = 100ms;
+    read();
+    write(lookup);
+    caller.shutdown(Tcp::socket::shutdown_send);
+    runFor(200ms);
+    CHECK(undelivered.empty());
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.ends_with("done<end>"));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "SocketOptions.socketThatThisProcessClosed.isNotClosedByThePeer")
+{
+    // Guards against a close by this process, or a passing error, that counts as a caller who left.
+    Tcp::socket closed(loop);
+    CHECK_FALSE(isClosedByPeer(closed));
+    CHECK_FALSE(isClosedByPeer(caller));
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "SocketOptions.resetConnection.isClosedByThePeer")
+{
+    // Guards against work for callers whose connection was reset.
+    Tcp::acceptor acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Tcp::socket other(loop);
+    other.connect(acceptor.local_endpoint());
+    Tcp::socket accepted = acceptor.accept();
+    other.set_option(asio::socket_base::linger(true, 0));
+    other.close();
+    CHECK(isClosedByPeer(accepted));
+}
