--- a/src/connection/endpoints.cpp
+++ b/src/connection/endpoints.cpp
@@ -19,4 +19,14 @@
     return Tcp::endpoint(ip, parsed->port);
 }
 
+bool isPeerAddress(const std::string &address)
+{
+    const auto endpoint = toEndpoint(address);
+    if (!endpoint || endpoint->port() == 0) {
+        return false;
+    }
+    const asio::ip::address &ip = endpoint->address();
+    return !ip.is_unspecified() && !ip.is_multicast() && ip != asio::ip::address_v4::broadcast();
+}
+
 } // namespace carobjunction
