Read a page of the table row by row

Cause: RowsDialect gave up the whole page for one row of another shape (value or ver of another type, key missing, no object), and the reader asked for the same page again and again, so that all daemons stopped following the table. A scan also took a page without readable rows for the last one. Change: each row is read for itself. An odd one is kept with its key and version as far as they can be read, and marked. The next page starts after the last key of the page, odd rows included; a page that doesn't advance is malformed. Conclusion: an odd row costs itself only.

--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -5,6 +5,7 @@
 
 #include "connection/httpclientpool.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,6 +21,7 @@
     std::string value;
     uint64_t version = 0; /**< Version of the store at which the row was written; as a condition, 0 means that there is no such row. */
     bool isDeleted = false;
+    bool isUnreadable = false; /**< Another writer left something else than text under the key; only the key, and the version if known, is set. */
 };
 
 /** Rows of one table, or the changes of one. */
@@ -114,7 +116,11 @@
             if (!page->hasMore || page->rows.empty()) {
                 co_return all;
             }
-            start = page->rows.back().key + '\0';
+            const std::string next = lastKey(*page) + '\0';
+            if (next <= start) {
+                co_return LastReason<TableStoreError>::fail(TableStoreError::Malformed); // the same page would come again and again
+            }
+            start = next;
         }
     }
 
@@ -137,6 +143,13 @@
     }
 
 private:
+    /** @return key of the last row that has one; odd rows may have none */
+    static std::string lastKey(const TableRows &page)
+    {
+        const auto last = std::find_if(page.rows.rbegin(), page.rows.rend(), [](const TableRow &row) { return !row.key.empty(); });
+        return last == page.rows.rend() ? "" : last->key;
+    }
+
     static std::optional<TableRows> readRows(const std::optional<HttpResponse> &response)
     {
         if (!response) {
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -74,6 +74,21 @@
     m_rows[{ table, key }] = { base64(value), ++m_version };
 }
 
+std::optional<std::string> StandInTableStore::value(const std::string &table, const std::string &key) const
+{
+    const auto found = m_rows.find({ table, key });
+    if (found == m_rows.end()) {
+        return std::nullopt;
+    }
+    const std::string &encoded = found->second.value;
+    std::string text(encoded.size() / 4 * 3 + 1, '\0');
+    const int size = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(encoded.data()), static_cast<int>(encoded.size()));
+    const size_t padding = encoded.ends_with("==") ? 2 : encoded.ends_with('=') ? 1 : 0;
+    text.resize(static_cast<size_t>(size) - padding);
+    return text;
+}
+
 Task<MaybeResponse> StandInTableStore::handle(HttpRequest request)
 {
     const std::string target(request.target().data(), request.target().size());
@@ -109,7 +124,11 @@
 
 HttpResponse StandInTableStore::get(const std::string &target) const
 {
-    return answer(http::status::ok, { { "rows", rowsOf(parameter(target, "table_name"), 0) }, { "has_more", false }, { "ver", m_version }, { "now_ms", 1 } });
+    Json rows = rowsOf(parameter(target, "table_name"), 0);
+    for (const Json &row : oddRows) {
+        rows.push_back(row);
+    }
+    return answer(http::status::ok, { { "rows", std::move(rows) }, { "has_more", false }, { "ver", m_version }, { "now_ms", 1 } });
 }
 
 Task<HttpResponse> StandInTableStore::feed(std::string target)
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
     /** Writes a row as the operator does. @param value  plain text, encoded here as on the wire */
     void put(const std::string &table, const std::string &key, const std::string &value);
 
+    /** @return a row as plain text, or empty if there is none */
+    std::optional<std::string> value(const std::string &table, const std::string &key) const;
+
     /** Forgets all changes up to now, so that watches from before fail. */
     void forgetHistory()
     {
@@ -31,6 +35,7 @@
 
     bool isDown = false; /**< All calls are answered 503. */
     Duration delay = Duration::zero(); /**< Time that each call takes. */
+    std::vector<nlohmann::json> oddRows; /**< Rows of another writer, told as they stand with each table that is read. */
     bool losesWrites = false; /**< Writes are made, and the connection ends without an answer. */
 
 private:
