Replace odd rows under the own key, and log each odd row once

Cause: a record with a far higher incarnation under a daemon's own key was taken as one of a former start: at 2^64-1 the next incarnation wrapped to 0, so the others never took the daemon's records again. A higher revision of the same incarnation was ignored, with the same effect. An unreadable own row kept the recall of the former backend server waiting for its time limit. One unreadable entry of a peer's state ended the reading of all entries. Odd rows were logged at each read of the table. Change: any newer own record is superseded by the next incarnation, and an own row that somebody else wrote later is written again. An unreadable own row counts as no former record. A former backend server that is born in the future is not recalled, since its birth would make all later ones stale. A peer's state is read entry by entry. Odd rows are logged when they are first seen, with the reason. Conclusion: no entry of another writer keeps a daemon from telling of its own VM or from reading the others.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -6,6 +6,7 @@
 #include <carobjunction/process/vmdirectory.h>
 #include <carobjunction/version/routetable.h>
 
+#include "connection/boundedjson.h"
 #include "connection/datagramport.h"
 #include "connection/endpoints.h"
 #include "connection/peerclients.h"
@@ -68,6 +69,10 @@
     /** Age up to which crashes are reported again, as datagrams may be lost. */
     static constexpr Duration CrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
+    /** Time in milliseconds by which the clock of this VM may have gone back since a backend server of a former start was born. */
+    static constexpr uint64_t LargestBirthLead = 24 * 3'600'000;
+    /** State of a peer that is read: routes and records of far more VMs than the design's largest size has. */
+    static constexpr JsonBounds StateBounds { size_t { 64 } << 20U, 4 };
 
     ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes, Metrics &metrics)
         : m_loop(loop)
@@ -80,9 +85,8 @@
         , m_reports(loop, directory, metrics)
         , m_writeTimer(loop)
     {
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
         m_record.daemon = settings.daemon;
-        m_record.incarnation = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+        m_record.incarnation = unixMs();
         m_record.revision = 1;
         m_record.address = settings.announcedAddress.empty() ? settings.peerAddress : settings.announcedAddress;
         m_record.dataCentre = settings.dataCentre;
@@ -167,6 +171,12 @@
     }
 
 private:
+    static uint64_t unixMs()
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+    }
+
     void spawn(Task<void> task)
     {
         asio::co_spawn(m_loop, std::move(task), asio::detached);
@@ -230,7 +240,9 @@
             nextBackoff = FirstBackoff;
             version = rows->version;
             for (const TableRow &row : rows->rows) {
-                if (row.key == Platform::ConfigKey && !row.isDeleted) {
+                if (row.key == Platform::ConfigKey && row.isUnreadable) {
+                    EventLog::write(LogLevel::Error, Event::ConfigRejected, { { "source", "store" }, { "reason", "the row has another form" } });
+                } else if (row.key == Platform::ConfigKey && !row.isDeleted) {
                     takeRoutes(row.value, "store");
                 }
             }
@@ -275,8 +287,9 @@
     {
         const VmRows read = readVmRows(rows);
         std::set<std::string> present(read.unreadable.begin(), read.unreadable.end());
-        for (const std::string &key : read.unreadable) {
-            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "table", VmTable }, { "key", key }, { "reason", "unreadable row" } });
+        logUnreadable(read);
+        if (present.count(m_record.daemon) != 0) {
+            takeUnreadableOwnRow(rows);
         }
         for (const VmRow &row : read.rows) {
             if (!row.isSuperseded || m_directory.isSelf(row.record.daemon)) {
@@ -299,6 +312,41 @@
         }
     }
 
+    /** Logs each unreadable row when it is first seen, since it stays in the table until its writer replaces it. */
+    void logUnreadable(const VmRows &read)
+    {
+        for (size_t i = 0; i < read.unreadable.size(); ++i) {
+            if (m_unreadableRows.count(read.unreadable[i]) == 0) {
+                EventLog::write(LogLevel::Warning,
+                                Event::ConfigRejected,
+                                { { "table", VmTable }, { "key", read.unreadable[i] }, { "reason", "unreadable row: " + read.faults[i] } });
+            }
+        }
+        m_unreadableRows = { read.unreadable.begin(), read.unreadable.end() };
+    }
+
+    /** Somebody else wrote under the key of this daemon, which is replaced like a record of a former start. */
+    void takeUnreadableOwnRow(const TableRows &rows)
+    {
+        for (const TableRow &row : rows.rows) {
+            if (row.key == m_record.daemon) {
+                writeAgainAfter(row.version);
+            }
+        }
+        m_recall(nullptr);
+    }
+
+    /** Replaces the own row, if it was written by somebody else after this daemon wrote its record. */
+    void writeAgainAfter(uint64_t version)
+    {
+        const bool isForeign = m_isRecordStored && !m_isWriting && version > m_rowVersion;
+        m_rowVersion = version;
+        if (isForeign) {
+            m_isRecordDue = true;
+            m_writeTimer.cancel();
+        }
+    }
+
     void forgetVm(const std::string &daemon, uint64_t incarnation, const char *reason)
     {
         const VmView *vm = m_directory.find(daemon);
@@ -320,7 +368,7 @@
     void takeVmRow(const VmRow &row)
     {
         if (m_directory.isSelf(row.record.daemon)) {
-            m_rowVersion = row.version;
+            writeAgainAfter(row.version);
             takeFormer(row.record);
             return;
         }
@@ -330,11 +378,17 @@
     /** Takes the record that a former start of this daemon left behind. The clock may have gone back since then. */
     void takeFormer(const VmRecord &stored)
     {
-        if (stored.incarnation == m_record.incarnation) {
-            return; // of this start
+        const bool isOfThisStart = stored.incarnation == m_record.incarnation;
+        if (isOfThisStart && !stored.isNewerThan(m_record)) {
+            return;
         }
-        m_recall(&stored.backend);
-        if (stored.incarnation > m_record.incarnation) {
+        if (!isOfThisStart) {
+            // A backend server of a former start was not born later than now. Its birth would make all later ones former processes.
+            const bool isBorn = stored.backend.bornMs <= unixMs() + LargestBirthLead;
+            m_recall(isBorn ? &stored.backend : nullptr);
+        }
+        // Somebody else wrote it if it is of this start. The others must take the next record of this daemon for newer in any case.
+        if (stored.isNewerThan(m_record)) {
             m_record.incarnation = stored.incarnation + 1;
             onRecordChanged();
         }
@@ -435,6 +489,9 @@
     {
         m_rowVersion = 0;
         for (const TableRow &row : result.current) {
+            if (row.key != m_record.daemon) {
+                continue;
+            }
             m_rowVersion = row.version;
             if (const auto stored = VmRecordCodec::decode(row.value)) {
                 takeFormer(*stored);
@@ -529,22 +586,38 @@
 
     void takeState(const std::string &text)
     {
-        try {
-            const nlohmann::json state = nlohmann::json::parse(text);
-            for (const nlohmann::json &item : state.at("vms")) {
-                const auto record = VmRecordCodec::decode(item.get<std::string>());
-                if (record && m_directory.isSelf(record->daemon)) {
-                    takeFormer(*record);
-                } else if (record) {
-                    takeVm(*record, "peer");
-                }
-            }
-            const std::string routes = state.at("routes").get<std::string>();
-            if (!routes.empty()) {
-                takeRoutes(routes, "peer");
+        std::string fault;
+        const auto state = boundedjson::decode(
+            [&text] {
+                auto json = boundedjson::parse(text, StateBounds);
+                json.at("vms");
+                json.at("routes").get_ref<const std::string &>();
+                return json;
+            },
+            &fault);
+        if (!state) {
+            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "source", "peer" }, { "reason", fault } });
+            return;
+        }
+        for (const auto &item : state->at("vms")) {
+            // A record that can't be read is passed over. The reader of its row logs it.
+            if (item.is_string()) {
+                takePeerRecord(item.template get_ref<const std::string &>());
             }
-        } catch (const nlohmann::json::exception &error) {
-            EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "source", "peer" }, { "reason", error.what() } });
+        }
+        const auto &routes = state->at("routes").template get_ref<const std::string &>();
+        if (!routes.empty()) {
+            takeRoutes(routes, "peer");
+        }
+    }
+
+    void takePeerRecord(const std::string &text)
+    {
+        const auto record = VmRecordCodec::decode(text);
+        if (record && m_directory.isSelf(record->daemon)) {
+            takeFormer(*record);
+        } else if (record) {
+            takeVm(*record, "peer");
         }
     }
 
@@ -562,6 +635,7 @@
     bool m_isRecordDue = false;
     bool m_isWriting = false;
     bool m_isRecordStored = false;
+    std::set<std::string> m_unreadableRows; /**< Keys that were in the VM table when it was last read. */
     bool m_isFetching = false;
     bool m_isCatchingUp = false;
     RoutesCatchUp m_catchUp;
--- a/src/process/vmrows.cpp
+++ b/src/process/vmrows.cpp
@@ -14,9 +14,11 @@
     VmRows result;
     std::map<std::string, uint64_t> latest; // version by address
     for (const TableRow &row : table.rows) {
-        auto record = VmRecordCodec::decode(row.value);
+        std::string fault = "the record of another daemon";
+        auto record = VmRecordCodec::decode(row.value, &fault);
         if (!record || record->daemon != row.key) {
             result.unreadable.push_back(row.key);
+            result.faults.push_back(row.isUnreadable ? "another form than that of the table" : fault);
             continue;
         }
         uint64_t &version = latest[record->address];
--- a/src/process/vmrows.h
+++ b/src/process/vmrows.h
@@ -25,6 +25,7 @@
 struct VmRows {
     std::vector<VmRow> rows;
     std::vector<std::string> unreadable; /**< Keys of rows that hold no record of the daemon that the key names. */
+    std::vector<std::string> faults; /**< Why they can't be read, in the same order. */
 };
 
 VmRows readVmRows(const TableRows &table);
--- /dev/null
+++ b/tests/platform/oddrowstest.cpp
@@ -0,0 +1,187 @@
+#include "platform/platformdaemonfixture.h"
+
+#include "platform/platformadapter.h"
+#include "process/clustersync.h"
+
+#include <limits>
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace
+{
+
+constexpr uint64_t LargestNumber = std::numeric_limits<uint64_t>::max();
+constexpr const char *VmTable = "carobjunction-vms";
+
+Json recordOf(const std::string &daemon, const std::string &address)
+{
+    VmRecord record;
+    record.daemon = daemon;
+    record.incarnation = 1'700'000'000'000;
+    record.revision = 1;
+    record.address = address;
+    record.dataCentre = "a";
+    record.region = "r";
+    record.backend = { "i-" + daemon, 1'700'000'000'000, "ordering", 9, BackendState::Ready, false };
+    return Json::parse(VmRecordCodec::encode(record));
+}
+
+std::string nested(size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+/** One daemon's view of the cluster in this process, with a stand-in for the store. */
+struct ClusterSyncFixture {
+    ClusterSyncFixture()
+    {
+        settings.daemon = "vm-1";
+        settings.dataCentre = "a";
+        settings.region = "r";
+        settings.storeAddress = store.address();
+        settings.peerAddress = "127.0.0.1:" + std::to_string(ports.next());
+    }
+
+    void start()
+    {
+        directory = std::make_unique<VmDirectory>("vm-1", Place { "a", "r" });
+        sync = std::make_unique<ClusterSync<PlatformAdapter>>(loop, settings, *directory, crashes, metrics);
+        sync->start([] { return TargetReport {}; }, [this](const BackendRecord *former) { recalled.push_back(former == nullptr ? "" : former->id); });
+    }
+
+    bool waitFor(const std::function<bool()> &condition, Duration limit = 5s)
+    {
+        const TimePoint end = SteadyClock().now() + limit;
+        while (SteadyClock().now() < end && !condition()) {
+            loop.restart();
+            loop.run_for(20ms);
+        }
+        return condition();
+    }
+
+    /** @return the own record as the store has it, or empty */
+    std::optional<VmRecord> stored()
+    {
+        const auto value = store.value(VmTable, "vm-1");
+        return value ? VmRecordCodec::decode(*value) : std::nullopt;
+    }
+
+    asio::io_context loop { 1 };
+    bench::FreePorts ports;
+    StandInTableStore store { loop };
+    VmSettings settings;
+    CrashHistory crashes;
+    Metrics metrics;
+    std::unique_ptr<VmDirectory> directory;
+    std::unique_ptr<ClusterSync<PlatformAdapter>> sync;
+    std::vector<std::string> recalled;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ClusterSyncFixture, "OddRows.rowUnderTheOwnKey.isReplaced")
+{
+    // Guards against a daemon that can't tell of its own VM, since somebody else wrote a later record under its key.
+    Json own = recordOf("vm-1", "10.9.9.9:1");
+    SECTION("largest incarnation")
+    {
+        own["incarnation"] = LargestNumber;
+        store.put(VmTable, "vm-1", own.dump());
+    }
+    SECTION("largest incarnation that is read")
+    {
+        own["incarnation"] = VmRecordCodec::largestIncarnation();
+        store.put(VmTable, "vm-1", own.dump());
+    }
+    SECTION("no record")
+    {
+        store.put(VmTable, "vm-1", nested(100'000));
+    }
+    start();
+    REQUIRE(waitFor([&] { return stored() && stored()->address == settings.peerAddress; }));
+    CHECK_FALSE(recalled.empty());
+    CHECK(stored()->incarnation > 0);
+    CHECK(stored()->incarnation <= VmRecordCodec::largestIncarnation());
+}
+
+TEST_CASE_METHOD(ClusterSyncFixture, "OddRows.laterRevisionUnderTheOwnKey.isSuperseded")
+{
+    // Guards against records of this daemon that the others take for older ones than that of another writer.
+    start();
+    REQUIRE(waitFor([&] { return stored().has_value(); }));
+    Json foreign = Json::parse(VmRecordCodec::encode(*stored()));
+    const uint64_t incarnation = foreign["incarnation"];
+    foreign["revision"] = 1'000'000;
+    foreign["address"] = "10.9.9.9:1";
+    store.put(VmTable, "vm-1", foreign.dump());
+    sync->setBackend({ "i-1", 1, "ordering", 9, BackendState::Ready, false });
+    CHECK(waitFor([&] { return stored() && stored()->address == settings.peerAddress && stored()->incarnation > incarnation; }));
+}
+
+TEST_CASE_METHOD(ClusterSyncFixture, "OddRows.oddRowOfAnotherShape.othersAreKnown")
+{
+    // Guards against a reader that gives up the table for one row.
+    store.put(VmTable, "vm-2", recordOf("vm-2", "127.0.0.1:1").dump());
+    store.oddRows = { { { "key", "odd" }, { "value", 5 }, { "ver", "x" } }, Json(7) };
+    start();
+    CHECK(waitFor([&] { return directory->find("vm-2") != nullptr; }, 2s));
+}
+
+TEST_CASE_METHOD(PlatformDaemonFixture, "OddRows.oddRowsAndDatagrams.daemonsGoOn")
+{
+    // Guards against one entry that ends all daemons, or keeps them from following the table.
+    REQUIRE(servesLookups());
+    Json late = recordOf("odd-late", "127.0.0.1:2");
+    late["incarnation"] = LargestNumber;
+    Json negative = recordOf("odd-negative", "127.0.0.1:2");
+    negative["revision"] = -1;
+    store.put(VmTable, "odd-late", late.dump());
+    store.put(VmTable, "odd-negative", negative.dump());
+    store.put(VmTable, "odd-port", recordOf("odd-port", "127.0.0.1:99999999999").dump());
+    store.put(VmTable, "odd-deep", nested(100'000));
+    Json shaped { { "table_name", VmTable }, { "key", "odd-shape" }, { "value", 5 }, { "ver", 7 } };
+    store.oddRows = { shaped, Json(3), { { "key", 4 } } };
+    for (Vm &vm : vms) {
+        vm.daemon->kill();
+        start(vm);
+    }
+    for (Vm &vm : vms) {
+        REQUIRE(waitFor([&] { return get(vm.ready, "/v1/readyz") == 200; }));
+        REQUIRE(beat(vm) == 200);
+    }
+    CHECK(servesLookups());
+    Udp::socket socket(loop, Udp::v4());
+    const std::vector<std::string> datagrams { std::string(8192, '\x81'), std::string(60'000, '\x81'), std::string("\x89\xfb\x7f\xf8"), "", "{" };
+    for (const Vm &vm : vms) {
+        const auto peer = toEndpoint(vm.peer).value();
+        for (const std::string &datagram : datagrams) {
+            socket.send_to(asio::buffer(datagram), Udp::endpoint(peer.address(), peer.port()));
+        }
+    }
+    runFor(4s); // the table is read for the second time
+    for (Vm &vm : vms) {
+        REQUIRE(beat(vm) == 200);
+        CHECK_FALSE(vm.daemon->waitForExit(1ms));
+    }
+    // A VM that is new is learned, and takes over.
+    vms.push_back(makeVm("vm-3", "ordering"));
+    start(vms.back());
+    REQUIRE(waitFor([&] { return get(vms.back().ready, "/v1/readyz") == 200; }));
+    REQUIRE(beat(vms.back()) == 200);
+    vms[1].daemon->kill();
+    CHECK(servesLookups());
+    CHECK(waitFor([&] { return !vms[2].backend->ran.empty() || (servesLookups() && !vms[2].backend->ran.empty()); }));
+    std::ifstream file(vms[0].logFile);
+    const std::string log((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    for (const std::string key : { "odd-late", "odd-negative", "odd-port", "odd-deep", "odd-shape" }) {
+        INFO(key);
+        size_t lines = 0;
+        for (size_t at = log.find("key=" + key + " "); at != std::string::npos; at = log.find("key=" + key + " ", at + 1)) {
+            ++lines;
+        }
+        CHECK(lines == 1);
+    }
+}
