Check the ranges and the nesting of datagrams

Cause: GossipMessage::decode converted NaN, fractions and negative numbers to whole ones, took any version and address, and the JSON library's CBOR reader recurses once a level. Change: boundedjson reads the datagram with a depth of 4 levels and checks each number. A ratio of 0, by which rates are divided, counts as 0.01. Lengths of 2^60 elements were refused before too. Conclusion: a datagram that can't be read is treated as a lost one.

--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -2,7 +2,11 @@
 
 #include "process/vmrecordcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "connection/boundedjson.h"
+#include "connection/endpoints.h"
+
+#include <algorithm>
+#include <limits>
 
 namespace carobjunction
 {
@@ -10,9 +14,10 @@
 namespace
 {
 
-using Json = nlohmann::json;
+using boundedjson::Json;
 
 constexpr double Percent = 100;
+constexpr JsonBounds DatagramBounds { 65'536, 4 }; // a message has three levels
 
 uint32_t toPercent(double value)
 {
@@ -26,8 +31,46 @@
 
 LimitMeans readMeans(const Json &json)
 {
-    const auto answers = json.at(2).get<uint32_t>();
-    return { { json.at(0).get<uint32_t>() / Percent, answers }, { json.at(1).get<uint32_t>() / Percent, answers } };
+    const auto answers = boundedjson::whole32(json.at(2));
+    // Rates are divided by the ratio.
+    const uint32_t ratio = std::max(boundedjson::whole32(json.at(0)), 1U);
+    return { { ratio / Percent, answers }, { boundedjson::whole32(json.at(1)) / Percent, answers } };
+}
+
+TargetReport readReport(const Json &json, const Json &slots)
+{
+    TargetReport report;
+    report.running = boundedjson::whole32(json.at(0));
+    report.waiting = boundedjson::whole32(json.at(1));
+    report.limit = boundedjson::whole32(json.at(2));
+    report.slowness = boundedjson::whole32(json.at(3)) / Percent;
+    report.cold = json.at(4).get<bool>();
+    report.slowSpell = json.at(5).get<bool>();
+    report.slots = { readMeans(slots.at(0)), readMeans(slots.at(1)) };
+    return report;
+}
+
+GossipMessage readMessage(const Json &json)
+{
+    GossipMessage message;
+    message.daemon = boundedjson::name(json.at(0));
+    message.incarnation = boundedjson::whole(json.at(1), VmRecordCodec::largestIncarnation());
+    message.revision = boundedjson::whole(json.at(2), boundedjson::LargestExact);
+    message.peerAddress = boundedjson::name(json.at(3));
+    message.configVersion = boundedjson::whole(json.at(4), boundedjson::LargestExact);
+    message.report = readReport(json.at(5), json.at(7));
+    for (const Json &crash : json.at(6)) {
+        constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
+        message.crashes.push_back({ boundedjson::whole(crash.at(0), AnyHash), boundedjson::name(crash.at(1)) });
+    }
+    if (const auto &text = json.at(8).get_ref<const std::string &>(); !text.empty()) {
+        message.record = VmRecordCodec::decode(text);
+    }
+    // A message without an address tells of load only: there is nowhere to ask for more.
+    if (message.daemon.empty() || !(message.peerAddress.empty() || isPeerAddress(message.peerAddress))) {
+        throw UnreadableMessage("no daemon, or an address that can't be connected to");
+    }
+    return message;
 }
 
 } // namespace
@@ -54,32 +97,8 @@
 
 std::optional<GossipMessage> GossipMessage::decode(std::string_view datagram)
 {
-    GossipMessage message;
-    try {
-        const Json json = Json::from_cbor(datagram.begin(), datagram.end());
-        message.daemon = json.at(0).get<std::string>();
-        message.incarnation = json.at(1).get<uint64_t>();
-        message.revision = json.at(2).get<uint64_t>();
-        message.peerAddress = json.at(3).get<std::string>();
-        message.configVersion = json.at(4).get<uint64_t>();
-        const Json &report = json.at(5);
-        message.report.running = report.at(0).get<uint32_t>();
-        message.report.waiting = report.at(1).get<uint32_t>();
-        message.report.limit = report.at(2).get<uint32_t>();
-        message.report.slowness = report.at(3).get<uint32_t>() / Percent;
-        message.report.cold = report.at(4).get<bool>();
-        message.report.slowSpell = report.at(5).get<bool>();
-        message.report.slots = { readMeans(json.at(7).at(0)), readMeans(json.at(7).at(1)) };
-        if (const auto text = json.at(8).get<std::string>(); !text.empty()) {
-            message.record = VmRecordCodec::decode(text);
-        }
-        for (const Json &crash : json.at(6)) {
-            message.crashes.push_back({ crash.at(0).get<uint64_t>(), crash.at(1).get<std::string>() });
-        }
-    } catch (const Json::exception &) {
-        return std::nullopt; // the receiver counts it
-    }
-    return message;
+    // A datagram that can't be read is one that was lost; the next one carries the same state.
+    return boundedjson::decode([datagram] { return readMessage(boundedjson::parseCbor(datagram, DatagramBounds)); });
 }
 
 } // namespace carobjunction
