Check the ranges in heartbeats, configurations and peer messages

Cause: milliseconds were converted to microseconds or nanoseconds without a bound, which overflows; 2^32 slots, attempts or connections lost their upper half; a birth of 2^64-1 made every later backend server a former process; a service or id of any length went into the record of the VM. Change: times are read up to 24 h, numbers within 32 bits (slots to 65,535, seq, versions to 2^53-1), births like incarnations, names of records up to 512 bytes, all with a bound for size and nesting. The fault names the field, as before. Conclusion: what is out of range is refused as a whole with its field; the configuration in force stays.

--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -2,9 +2,10 @@
 
 #include <carobjunction/process/durations.h>
 
+#include "connection/boundedjson.h"
 #include "connection/messagefields.h"
 
-#include <nlohmann/json.hpp>
+#include <limits>
 
 namespace carobjunction
 {
@@ -12,28 +13,83 @@
 namespace
 {
 
-using Json = nlohmann::json;
+using boundedjson::Json;
 
 constexpr double Percent = 100;
 
-Duration fromMs(int64_t milliseconds)
+constexpr auto LongestTime = std::chrono::hours(24); // far beyond any deadline, and far below what overflows in nanoseconds
+constexpr JsonBounds FieldBounds { 65'536, 4 }; // of a header field, which has two levels
+
+/** @return a time that may have passed */
+Duration readOffset(const Json &milliseconds)
+{
+    return std::chrono::milliseconds(boundedjson::signedWhole(milliseconds, std::chrono::milliseconds(LongestTime).count()));
+}
+
+template<typename Unit>
+Unit readTime(const Json &value)
 {
-    return std::chrono::milliseconds(milliseconds);
+    return Unit(boundedjson::whole(value, static_cast<uint64_t>(Unit(LongestTime).count())));
+}
+
+std::string readText(const Json &value)
+{
+    return value.get_ref<const std::string &>();
 }
 
 TargetReport readReport(const Json &list)
 {
     return {
-        list.at(0).get<uint32_t>(),
-        list.at(1).get<uint32_t>(),
-        list.at(2).get<uint32_t>(),
-        list.at(3).get<double>() / Percent,
-        list.at(4).get<int>() != 0,
-        list.at(5).get<int>() != 0,
+        boundedjson::whole32(list.at(0)),
+        boundedjson::whole32(list.at(1)),
+        boundedjson::whole32(list.at(2)),
+        boundedjson::whole32(list.at(3)) / Percent,
+        boundedjson::whole32(list.at(4)) != 0,
+        boundedjson::whole32(list.at(5)) != 0,
         {},
     };
 }
 
+ForwardRequest readRequest(const Json &field, TimePoint now)
+{
+    constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
+    ForwardRequest request;
+    request.requestId = readText(field.at("id"));
+    request.callerService = readText(field.at("from"));
+    request.service = readText(field.at("service"));
+    request.route = readText(field.at("route"));
+    request.backend = readText(field.at("backend"));
+    request.configVersion = boundedjson::whole(field.at("config"), boundedjson::LargestExact);
+    request.fingerprint = boundedjson::whole(field.at("print"), AnyHash);
+    request.idempotent = field.at("idempotent").get<bool>();
+    request.mayQueue = field.at("queue").get<bool>();
+    request.priority = boundedjson::whole32(field.at("priority"));
+    request.aimAt = now + readOffset(field.at("aim"));
+    request.deadlineAt = now + readOffset(field.at("left"));
+    request.work = readTime<std::chrono::milliseconds>(field.at("work"));
+    return request;
+}
+
+ForwardResult readResult(const Json &field)
+{
+    const auto outcome = fromName<Outcome>(readText(field.at("outcome")));
+    const auto reason = fromName<Reason>(readText(field.at("reason")));
+    if (!outcome || !reason) {
+        throw UnreadableMessage("unknown outcome or reason");
+    }
+    ForwardResult result;
+    result.outcome = *outcome;
+    result.reason = *reason;
+    result.reachedBackend = field.at("reached").get<bool>();
+    result.isTypical = field.at("typical").get<bool>();
+    result.serviceTime = readTime<std::chrono::microseconds>(field.at("us"));
+    result.retryAfter = readTime<std::chrono::milliseconds>(field.at("retry"));
+    if (field.contains("load")) {
+        result.report = readReport(field["load"]);
+    }
+    return result;
+}
+
 } // namespace
 
 HttpRequest PeerCodec::encode(const ForwardRequest &request, TimePoint now)
@@ -52,28 +108,14 @@
 
 std::optional<ForwardRequest> PeerCodec::decode(HttpRequest message, TimePoint now)
 {
-    ForwardRequest request;
-    try {
-        const Json field = Json::parse(fieldText(message, RequestField));
-        request.requestId = field.at("id").get<std::string>();
-        request.callerService = field.at("from").get<std::string>();
-        request.service = field.at("service").get<std::string>();
-        request.route = field.at("route").get<std::string>();
-        request.backend = field.at("backend").get<std::string>();
-        request.configVersion = field.at("config").get<uint64_t>();
-        request.fingerprint = field.at("print").get<uint64_t>();
-        request.idempotent = field.at("idempotent").get<bool>();
-        request.mayQueue = field.at("queue").get<bool>();
-        request.priority = field.at("priority").get<uint32_t>();
-        request.aimAt = now + fromMs(field.at("aim").get<int64_t>());
-        request.deadlineAt = now + fromMs(field.at("left").get<int64_t>());
-        request.work = fromMs(field.at("work").get<int64_t>());
-    } catch (const Json::exception &) {
-        return std::nullopt; // the caller of this function logs the refusal
+    // The caller of this function logs what can't be read.
+    auto request = boundedjson::decode([&] { return readRequest(boundedjson::parse(fieldText(message, RequestField), FieldBounds), now); });
+    if (!request) {
+        return std::nullopt;
     }
     message.erase(RequestField);
     removeConnectionFields(message);
-    request.message = std::move(message);
+    request->message = std::move(message);
     return request;
 }
 
@@ -101,29 +143,14 @@
 
 std::optional<ForwardResult> PeerCodec::decode(HttpResponse message)
 {
-    ForwardResult result;
-    try {
-        const Json field = Json::parse(fieldText(message, ResultField));
-        const auto outcome = fromName<Outcome>(field.at("outcome").get<std::string>());
-        const auto reason = fromName<Reason>(field.at("reason").get<std::string>());
-        if (!outcome || !reason) {
-            return std::nullopt;
-        }
-        result.outcome = *outcome;
-        result.reason = *reason;
-        result.reachedBackend = field.at("reached").get<bool>();
-        result.isTypical = field.at("typical").get<bool>();
-        result.serviceTime = std::chrono::microseconds(field.at("us").get<int64_t>());
-        result.retryAfter = fromMs(field.at("retry").get<int64_t>());
-        if (field.contains("load")) {
-            result.report = readReport(field["load"]);
-        }
-    } catch (const Json::exception &) {
-        return std::nullopt; // the entry counts the attempt as unknown and logs it
+    // The entry counts an attempt whose result can't be read as unknown, and logs it.
+    auto result = boundedjson::decode([&] { return readResult(boundedjson::parse(fieldText(message, ResultField), FieldBounds)); });
+    if (!result) {
+        return std::nullopt;
     }
     message.erase(ResultField);
     removeConnectionFields(message);
-    result.response = std::move(message);
+    result->response = std::move(message);
     return result;
 }
 
--- /dev/null
+++ b/tests/platform/oddconfigurationtest.cpp
@@ -0,0 +1,137 @@
+#include "platform/platformadapter.h"
+#include "platform/platformstandins.h"
+#include "platform/publishedconfig.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <limits>
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using Json = nlohmann::json;
+
+namespace
+{
+
+constexpr uint64_t LargestNumber = std::numeric_limits<uint64_t>::max();
+
+Json sampleHeartbeat()
+{
+    return Json::parse(heartbeatBody("10.0.0.1:80", 1'700'000'000'000, "ordering", "ready", 4));
+}
+
+bool isHeartbeatRead(const std::string &body, const std::string &id = "i-1")
+{
+    HttpRequest message(http::verb::put, "/v1/instances/" + id, 11);
+    message.body() = body;
+    const auto call = PlatformAdapter::decodeControlCall(message);
+    return call && std::holds_alternative<Heartbeat>(*call);
+}
+
+Json sampleConfig()
+{
+    Json config = Json::parse(publishedConfig(7, { { "/look/", "idempotent", "ordering" } }));
+    config["resources"].push_back(
+        { { "type", "limits" },
+          { "metadata", Json::object() },
+          { "spec", { { "max_header_bytes", 16384 }, { "max_body_bytes", 1 << 20 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } });
+    return config;
+}
+
+Json with(Json json, const std::string &pointer, const Json &value)
+{
+    json[Json::json_pointer(pointer)] = value;
+    return json;
+}
+
+bool isConfigRead(const Json &config)
+{
+    return PlatformAdapter::decodeRoutes(config.dump()).table != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("OddHeartbeat.numberOutOfRange.isUnreadable")
+{
+    // Guards against a backend server with 2^32 slots that is given none, and a birth that no later process can follow.
+    REQUIRE(isHeartbeatRead(sampleHeartbeat().dump()));
+    for (const char *field : { "/born", "/info/slots", "/status/seq", "/status/cold_remaining_ms" }) {
+        INFO(field);
+        for (const Json &value : { Json(-1), Json(1e300), Json("1"), Json(true), Json(nullptr), Json::array(), Json(LargestNumber) }) {
+            INFO(value.dump());
+            CHECK_FALSE(isHeartbeatRead(with(sampleHeartbeat(), field, value).dump()));
+        }
+    }
+    CHECK_FALSE(isHeartbeatRead(with(sampleHeartbeat(), "/info/slots", uint64_t { 1 } << 32U).dump()));
+}
+
+TEST_CASE("OddHeartbeat.textOutOfBounds.isUnreadable")
+{
+    // Guards against a record of this VM that the other daemons can't read.
+    CHECK_FALSE(isHeartbeatRead(with(sampleHeartbeat(), "/info/service", std::string(10'000, 's')).dump()));
+    CHECK_FALSE(isHeartbeatRead(sampleHeartbeat().dump(), std::string(10'000, 'i')));
+    CHECK_FALSE(isHeartbeatRead("[]"));
+    CHECK_FALSE(isHeartbeatRead("3"));
+    CHECK_FALSE(isHeartbeatRead(std::string(100'000, '[')));
+    CHECK_FALSE(isHeartbeatRead(with(sampleHeartbeat(), "/more", Json::parse(std::string(100, '[') + std::string(100, ']'))).dump()));
+}
+
+TEST_CASE("OddConfiguration.numberOutOfRange.isRefusedWithTheField")
+{
+    // Guards against times that overflow, and numbers that lose their upper half.
+    REQUIRE(isConfigRead(sampleConfig()));
+    const std::string route = "/resources/0/spec";
+    for (const std::string &field : { route + "/timeout_ms",
+                                      route + "/aim_ms",
+                                      route + "/attempts",
+                                      route + "/priority",
+                                      std::string("/resources/1/spec/max_connections"),
+                                      std::string("/resources/3/spec/header_timeout_ms"),
+                                      std::string("/resources/3/spec/idle_timeout_ms"),
+                                      std::string("/version") }) {
+        INFO(field);
+        for (const Json &value : { Json(-1), Json(1e300), Json("1"), Json(true), Json(nullptr), Json(LargestNumber) }) {
+            INFO(value.dump());
+            CHECK_FALSE(isConfigRead(with(sampleConfig(), field, value)));
+        }
+    }
+    for (const std::string &field : { route + "/attempts", route + "/priority", std::string("/resources/1/spec/max_connections") }) {
+        INFO(field);
+        CHECK_FALSE(isConfigRead(with(sampleConfig(), field, uint64_t { 1 } << 32U)));
+    }
+    CHECK(PlatformAdapter::decodeRoutes(with(sampleConfig(), route + "/timeout_ms", 1e300).dump()).fault.find("timeout_ms") != std::string::npos);
+    const Json heavy = Json::array({ { { "service", "ordering" }, { "weight", uint64_t { 1 } << 32U } } });
+    CHECK_FALSE(isConfigRead(with(sampleConfig(), route + "/weighted_clusters", heavy)));
+}
+
+TEST_CASE("OddConfiguration.deepNesting.isRefused")
+{
+    // Guards against the end of the process by the configuration.
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string &text : { deep,
+                                     R"({"version":7,"resources":)" + deep + "}",
+                                     R"({"version":7,"resources":[)" + deep + "]}",
+                                     R"({"version":7,"resources":[],"more":)" + deep + "}" }) {
+        const DecodedRoutes decoded = PlatformAdapter::decodeRoutes(text);
+        CHECK(decoded.table == nullptr);
+        CHECK(decoded.fault.size() <= 300);
+    }
+}
+
+TEST_CASE("OddConfiguration.otherShapes.areRefused")
+{
+    for (const char *text : { "",
+                              "3",
+                              "null",
+                              "[]",
+                              R"({"version":7,"resources":[3]})",
+                              R"({"version":7,"resources":[{"type":"routes","spec":3,"metadata":{}}]})",
+                              R"({"version":7,"resources":[{"type":"routes","spec":{},"metadata":3}]})" }) {
+        INFO(text);
+        CHECK(PlatformAdapter::decodeRoutes(text).table == nullptr);
+    }
+    const DecodedRoutes unended = PlatformAdapter::decodeRoutes("\"" + std::string(100'000, 'x'));
+    CHECK(unended.table == nullptr);
+    CHECK(unended.fault.size() <= 300); // a line of the log
+}
