Take no answer without an id as that of a request on a kept connection

Cause: an answer without the request's id counted as the request's own on any connection. A faulty backend server that wrote an earlier refusal once more, without its id, so made a request "not run" that it was running: callers were told 503, orders ran at a second backend server, and an earlier 421 closed the gate. Failures of other requests were passed on the same way.

Change: ExchangeOptions::isNamed says whether an answer names its request; one that doesn't counts only as the first answer of its connection. Otherwise the exchange ends as Unproven, the outcome is unknown and the connection is closed. Requests without an id are sent on a new connection, since their refusals can't name them. The stand-in backend server echoes the id in its refusals, as backend servers do.

Refuted, kept as guards: a repeated refusal with its own id was skipped already, and one written in one go with the first ended the connection already.

Conclusion: an answer is believed if it names the request or if nothing else can have come on its connection.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -36,6 +36,7 @@
     Tcp::socket socket;
     beast::flat_buffer buffer;
     TimePoint idleUntil;
+    uint64_t answers = 0; /**< Answers read so far, those of other requests included. */
     bool isReusable = false;
     bool hasTimedOut = false;
 };
@@ -89,6 +90,7 @@
         }
         const bool endsWithConnection = parser.need_eof();
         response = parser.release();
+        ++connection->answers;
         if (!options.belongs || options.belongs(response)) {
             connection->isReusable = !endsWithConnection && response.keep_alive() && connection->buffer.size() == 0;
             co_return ErrorCode();
@@ -130,7 +132,7 @@
 {
     const auto self = shared_from_this();
     ExchangeResult result;
-    ConnectionPtr connection = takeIdle();
+    ConnectionPtr connection = options.onNewConnection ? nullptr : takeIdle();
     if (!connection) {
         connection = co_await connect(options, cancellation, result.detail);
     }
@@ -147,6 +149,13 @@
         const Cancellation::Registration registration(*cancellation, [connection] { connection->close(); });
         error = co_await sendAndReceive(connection, request, options, result.response);
     }
+    if (!error && options.isNamed && connection->answers > 1 && !options.isNamed(result.response)) {
+        result.end = ExchangeEnd::Unproven;
+        result.detail = "the answer does not name its request";
+        result.response = {};
+        connection->close();
+        co_return result;
+    }
     if (!error) {
         result.end = ExchangeEnd::Answered;
         keep(connection, result.response);
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -18,6 +18,7 @@
     Answered, /**< A complete answer arrived. */
     NotSent, /**< No connection could be opened, so nothing was sent. */
     Lost, /**< The request may have arrived; no complete answer came. */
+    Unproven, /**< As Lost, because the answer may be that of an earlier request. */
     TimedOut, /**< As Lost, at the deadline. */
     Cancelled, /**< As Lost, because the caller left. */
 };
@@ -36,6 +37,12 @@
     uint64_t bodyLimit = 64U << 20U;
     /** Says whether an answer belongs to the request. Answers that don't are skipped. Empty: all do. */
     std::function<bool(const HttpResponse &)> belongs;
+    /**
+     * Says whether an answer that belongs to the request also names it. One that doesn't counts only as the first answer of its
+     * connection: later it may be that of an earlier request, written once more, so the exchange ends as Unproven. Empty: all do.
+     */
+    std::function<bool(const HttpResponse &)> isNamed;
+    bool onNewConnection = false; /**< For requests whose answers can't name them. */
 };
 
 /** Bounds of the connections of a pool. */
@@ -47,7 +54,8 @@
 /**
  * Connections to one HTTP server, kept open between exchanges. Used on one event loop; not thread-safe.
  *
- * A connection is used again only after a complete answer that nothing followed.
+ * A connection is used again only after a complete answer that nothing followed. A server may still write an earlier answer once more
+ * where the next one is due: see ExchangeOptions::belongs and ExchangeOptions::isNamed.
  */
 class HttpClientPool : public std::enable_shared_from_this<HttpClientPool>
 {
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -303,6 +303,10 @@
     options.belongs = [this, id = request.requestId](const HttpResponse &response) {
         return !hasField(response, m_headers.requestId) || fieldText(response, m_headers.requestId) == id;
     };
+    options.isNamed = [this](const HttpResponse &response) {
+        return hasField(response, m_headers.requestId);
+    };
+    options.onNewConnection = request.requestId.empty();
     ExchangeResult exchange = co_await m_backend->exchange(toBackendMessage(request), std::move(options), cancellation);
     const ExchangeEnd end = exchange.end;
     ForwardResult result = classify(request, std::move(exchange));
@@ -331,6 +335,7 @@
     return ForwardResult::unanswered(exchange.end, Reason::TargetDown, std::move(exchange.detail));
 }
 
+/** @param response  names the request, or is the first answer of its connection: a refusal written once more never gets here */
 ForwardResult TargetService::classifyAnswer(const ForwardRequest &request, HttpResponse response)
 {
     readLoad(response);
--- /dev/null
+++ b/tests/connection/rawanswerserver.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "connection/asio.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <functional>
+#include <string>
+
+namespace carobjunction
+{
+
+/** Accepts connections side by side and lets a function write the bytes that answer each request, which need not be one answer. */
+class RawAnswerServer
+{
+public:
+    /** Place of a request: number of its connection and its own number on it, both from 1. */
+    struct Place {
+        int connection = 0;
+        int request = 0;
+    };
+    using Answerer = std::function<Task<void>(Tcp::socket &, HttpRequest, Place)>;
+
+    RawAnswerServer(asio::io_context &loop, Answerer answerer)
+        : m_loop(loop), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), m_answerer(std::move(answerer))
+    {
+        asio::co_spawn(
+            loop, [this]() -> Task<void> { co_await accept(); }, asio::detached);
+    }
+
+    Tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    static Task<void> write(Tcp::socket &socket, std::string bytes)
+    {
+        ErrorCode ignored; // the client may have left
+        co_await asio::async_write(socket, asio::buffer(bytes), into(ignored));
+    }
+
+    int connections = 0;
+
+private:
+    Task<void> accept()
+    {
+        while (true) {
+            ErrorCode error;
+            auto socket = std::make_shared<Tcp::socket>(co_await m_acceptor.async_accept(into(error)));
+            if (error) {
+                co_return;
+            }
+            const int number = ++connections;
+            asio::co_spawn(
+                m_loop, [this, socket, number]() -> Task<void> { co_await serve(socket, number); }, asio::detached);
+        }
+    }
+
+    Task<void> serve(std::shared_ptr<Tcp::socket> socket, int connection)
+    {
+        beast::flat_buffer buffer;
+        for (int number = 1;; ++number) {
+            HttpRequest request;
+            ErrorCode error;
+            co_await http::async_read(*socket, buffer, request, into(error));
+            if (error) {
+                co_return;
+            }
+            co_await m_answerer(*socket, std::move(request), Place { connection, number });
+        }
+    }
+
+    asio::io_context &m_loop;
+    Tcp::acceptor m_acceptor;
+    Answerer m_answerer;
+};
+
+} // namespace carobjunction
--- a/tests/platform/platformdaemonfixture.h
+++ b/tests/platform/platformdaemonfixture.h
@@ -23,11 +23,17 @@
 struct Vm : DaemonPorts {
     std::string name;
     std::string service;
+    std::string backendInstead; /**< Address of a backend server that takes the place of the stand-in. */
     std::string settingsFile;
     std::string logFile; /**< Standard output and standard error of all starts of the daemon. */
     std::unique_ptr<StandInBackend> backend;
     std::unique_ptr<bench::ChildProcess> daemon;
     uint64_t sequence = 0;
+
+    std::string backendAddress() const
+    {
+        return backendInstead.empty() ? backend->address() : backendInstead;
+    }
 };
 
 /** Two VMs: the callers are on the first, whose backend server is of another service. */
@@ -64,7 +70,7 @@
     void start(Vm &vm, const std::string &storeAddress = "")
     {
         std::ofstream file(vm.settingsFile);
-        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backend->address() << "\n"
+        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backendAddress() << "\n"
              << vm.settings() << "store-address: " << (storeAddress.empty() ? store.address() : storeAddress)
              << "\nheartbeat-interval: 10s\ngrace-period: 4s\n";
         file.close();
@@ -137,7 +143,7 @@
     unsigned beat(Vm &vm, const std::string &state = "ready")
     {
         HttpRequest message(http::verb::put, "/v1/instances/" + vm.backend->id, 11);
-        message.body() = heartbeatBody(vm.backend->address(), BornMs, vm.service, state, ++vm.sequence);
+        message.body() = heartbeatBody(vm.backendAddress(), BornMs, vm.service, state, ++vm.sequence);
         return send(vm.control, message).result_int();
     }
 
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -57,6 +57,15 @@
     return response;
 }
 
+/** @return the answer to a request that does not run; as all answers of backend servers, it echoes the request's id */
+HttpResponse refusal(http::status status, const HttpRequest &request)
+{
+    HttpResponse response = ownAnswer(status, "not run");
+    response.set("X-Not-Executed", "1");
+    response.set("X-Attempt-Id", fieldText(request, "X-Attempt-Id"));
+    return response;
+}
+
 } // namespace
 
 StandInTableStore::StandInTableStore(asio::io_context &loop)
@@ -218,12 +227,10 @@
         co_return response;
     }
     if (fieldText(request, "X-Expected-Instance") != id) {
-        co_return ownAnswer(http::status::misdirected_request, "another backend server");
+        co_return refusal(http::status::misdirected_request, request);
     }
     if (sheds) {
-        HttpResponse response = ownAnswer(http::status::service_unavailable, "full");
-        response.set("X-Not-Executed", "1");
-        co_return response;
+        co_return refusal(http::status::service_unavailable, request);
     }
     ran.push_back(request);
     if (onRun) {
--- /dev/null
+++ b/tests/platform/repeatedrefusalstest.cpp
@@ -0,0 +1,157 @@
+#include "platform/platformdaemonfixture.h"
+
+#include "connection/rawanswerserver.h"
+
+#include <set>
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using namespace std::chrono_literals;
+
+/**
+ * Backend server that refuses the first order on each connection, and writes an earlier refusal once more before it answers the next
+ * one, which it runs. Health questions and lookups are answered as by a sound one.
+ */
+class RefusalRepeater
+{
+public:
+    explicit RefusalRepeater(asio::io_context &loop)
+        : m_loop(loop)
+        , m_server(loop, [this](Tcp::socket &socket, HttpRequest request, RawAnswerServer::Place place) { return answer(socket, std::move(request), place); })
+    {
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_server.address().port());
+    }
+
+    bool namesRepeats = true; /**< Whether a refusal that is written once more has the id of its request. */
+    http::status status = http::status::service_unavailable; /**< Of refusals. */
+    std::multiset<std::string> ran; /**< Ids of the orders that it began to run. */
+    int repeats = 0; /**< Refusals that it wrote once more. */
+
+private:
+    /** @param id  left out if empty */
+    std::string refusal(const std::string &id) const
+    {
+        return "HTTP/1.1 " + std::to_string(static_cast<unsigned>(status)) + " Refused\r\n" + (id.empty() ? "" : "X-Attempt-Id: " + id + "\r\n")
+            + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    Task<void> answer(Tcp::socket &socket, HttpRequest request, RawAnswerServer::Place place)
+    {
+        const std::string id = fieldText(request, "X-Attempt-Id");
+        const bool isOrder = request.method() == http::verb::post;
+        std::string bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal\r\nX-Server-Load: 0,0,9,100\r\nContent-Length: 2\r\n\r\nok";
+        if (isOrder && m_refused.count(place.connection) == 0) {
+            m_refused[place.connection] = id;
+            bytes = refusal(id);
+        } else if (isOrder) {
+            ran.insert(id);
+            ++repeats;
+            const std::string former = refusal(namesRepeats ? m_refused[place.connection] : "");
+            co_await RawAnswerServer::write(socket, former);
+            asio::steady_timer work(m_loop, 20ms);
+            co_await work.async_wait(asio::use_awaitable);
+        }
+        co_await RawAnswerServer::write(socket, bytes);
+    }
+
+    asio::io_context &m_loop;
+    std::map<int, std::string> m_refused; /**< First order of each connection. */
+    RawAnswerServer m_server;
+};
+
+/** The backend server of the second VM repeats refusals; the one of the third is sound. */
+struct RepeatedRefusalsFixture : PlatformDaemonFixture {
+    RepeatedRefusalsFixture()
+    {
+        vms[1].daemon->kill();
+        vms[1].backendInstead = repeater.address();
+        start(vms[1]);
+        REQUIRE(waitFor([&] { return get(vms[1].ready, "/v1/readyz") == 200; }));
+        REQUIRE(beat(vms[1]) == 200);
+        REQUIRE(servesLookups());
+    }
+
+    void startSoundServer()
+    {
+        vms.push_back(makeVm("vm-3", "ordering"));
+        start(vms.back());
+        REQUIRE(waitFor([&] { return get(vms.back().ready, "/v1/readyz") == 200; }));
+        REQUIRE(beat(vms.back()) == 200);
+        runFor(300ms);
+    }
+
+    size_t runsAtTheSoundServer(const std::string &id) const
+    {
+        size_t runs = 0;
+        for (const HttpRequest &request : vms.back().backend->ran) {
+            runs += fieldText(request, "X-Attempt-Id") == id ? 1 : 0;
+        }
+        return runs;
+    }
+
+    /** Checks of each order that it ran once at most, and that it isn't told to be refused if it ran. */
+    void sendOrdersAtOnce(int count)
+    {
+        std::map<std::string, std::shared_ptr<std::optional<ExchangeResult>>> results;
+        for (int i = 0; i < count; ++i) {
+            const HttpRequest order = request(http::verb::post, "/order/" + std::to_string(lastRequest));
+            results[fieldText(order, "X-Attempt-Id")] = begin(vms[0].caller, order);
+        }
+        for (const auto &[id, result] : results) {
+            REQUIRE(waitFor([&, end = result] { return end->has_value(); }));
+            const unsigned status = (*result)->response.result_int();
+            const size_t runs = repeater.ran.count(id) + runsAtTheSoundServer(id);
+            CHECK(runs <= 1);
+            CHECK((runs == 0 || (status != 503 && status != 429)));
+        }
+    }
+
+    RefusalRepeater repeater { loop };
+};
+
+TEST_CASE_METHOD(RepeatedRefusalsFixture, "RepeatedRefusals.orderThatRuns.isNotToldToBeRefused")
+{
+    // Guards against a caller that sends an order again, because it was told the refusal of the order before.
+    for (int i = 0; i < 10; ++i) {
+        const HttpRequest order = request(http::verb::post, "/order/" + std::to_string(i));
+        const unsigned status = send(vms[0].caller, order).result_int();
+        const bool hasRun = repeater.ran.count(fieldText(order, "X-Attempt-Id")) > 0;
+        CHECK(status == (hasRun ? 200 : 503));
+    }
+    CHECK(repeater.repeats > 0);
+}
+
+TEST_CASE_METHOD(RepeatedRefusalsFixture, "RepeatedRefusals.repeatedWithoutId.promisesNothing")
+{
+    // Guards against the same if the repeated refusal doesn't tell whose it is.
+    repeater.namesRepeats = false;
+    repeater.status = http::status::too_many_requests;
+    for (int i = 0; i < 10; ++i) {
+        const HttpRequest order = request(http::verb::post, "/order/" + std::to_string(i));
+        const unsigned status = send(vms[0].caller, order).result_int();
+        if (repeater.ran.count(fieldText(order, "X-Attempt-Id")) > 0) {
+            CHECK(status == 502);
+        }
+    }
+    CHECK(repeater.repeats > 0);
+}
+
+TEST_CASE_METHOD(RepeatedRefusalsFixture, "RepeatedRefusals.orderThatRuns.doesNotRunAtASecondServer")
+{
+    // Guards against orders that run twice, because a repeated refusal sends them on to another backend server.
+    repeater.namesRepeats = false;
+    for (int i = 0; i < 200; ++i) { // repeats are allowed for a share of the requests
+        call(http::verb::get, "/look/1");
+    }
+    call(http::verb::post, "/order/refused");
+    startSoundServer();
+    vms.back().backend->work = 50ms; // more orders at once than it has slots, so that some go to the other one
+    for (int i = 0; i < 4; ++i) {
+        sendOrdersAtOnce(20);
+    }
+    CHECK(repeater.repeats > 0);
+}
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -1,5 +1,7 @@
 #include "process/targetservice.h"
 #include "connection/httplistener.h"
+#include "connection/messagefields.h"
+#include "connection/rawanswerserver.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,8 +16,14 @@
         acceptor.open(Tcp::v4());
         acceptor.bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         acceptor.listen(0);
+        announceBackend(acceptor.local_endpoint());
+    }
+
+    /** Starts the service anew beside a backend server that has told of itself. */
+    void announceBackend(const Tcp::endpoint &address)
+    {
         target.emplace(loop,
-                       acceptor.local_endpoint(),
+                       address,
                        headers,
                        10s,
                        crashes,
@@ -194,3 +202,138 @@
     }
     CHECK(questions == 1);
 }
+
+/** The backend server writes earlier answers once more. Answers are those of "r1" unless an id is given; an empty id is left out. */
+struct RepeatingBackendFixture : TargetServiceFixture {
+    static std::string answer(const std::string &status, const std::string &id, const std::string &fields, const std::string &body = "")
+    {
+        return "HTTP/1.1 " + status + "\r\n" + (id.empty() ? "" : "Request-Id: " + id + "\r\n") + fields + "Content-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    static std::string refusal(const std::string &id)
+    {
+        return answer("503 Service Unavailable", id, "Not-Executed: 1\r\n");
+    }
+
+    static std::string misdirected(const std::string &id)
+    {
+        return answer("421 Misdirected Request", id, "Not-Executed: 1\r\n");
+    }
+
+    static std::string success(const std::string &id)
+    {
+        return answer("200 OK", id, "Seal: seal\r\n", "of " + id);
+    }
+
+    /** Answers each request with the bytes that @p bytesFor returns. */
+    void serve(std::function<std::string(const std::string &id, RawAnswerServer::Place)> bytesFor)
+    {
+        backend.emplace(loop, [bytesFor](Tcp::socket &socket, HttpRequest message, RawAnswerServer::Place place) {
+            return RawAnswerServer::write(socket, bytesFor(fieldText(message, "Request-Id"), place));
+        });
+        announceBackend(backend->address());
+    }
+
+    ForwardResult run(const std::string &id)
+    {
+        ForwardRequest wanted = request();
+        wanted.requestId = id;
+        wanted.deadlineAt = SteadyClock().now() + 1s;
+        if (!id.empty()) {
+            wanted.message.set("Request-Id", id);
+        }
+        std::optional<ForwardResult> result;
+        asio::co_spawn(
+            loop, [&]() -> Task<void> { result = co_await target->run(wanted, std::make_shared<Cancellation>()); }, asio::detached);
+        loop.restart();
+        while (!result && loop.run_one() > 0) { }
+        REQUIRE(result.has_value());
+        return *result;
+    }
+
+    std::optional<RawAnswerServer> backend;
+};
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.repeatedRefusalWithItsId.isSkipped")
+{
+    // Guards against a request that runs and is told to be refused, since the refusal of the request before is written once more.
+    serve([](const std::string &id, RawAnswerServer::Place place) { return place.request == 1 ? refusal(id) : refusal("r1") + success(id); });
+    CHECK(run("r1").outcome == Outcome::NotRun);
+    const ForwardResult second = run("r2");
+    CHECK(second.outcome == Outcome::Ran);
+    CHECK(second.response.body() == "of r2");
+    CHECK(backend->connections == 1);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.repeatedRefusalWithoutId.provesNothing")
+{
+    // Guards against "not run" for a request that runs: a refusal without id on a kept connection may be an earlier one.
+    serve([](const std::string &id, RawAnswerServer::Place place) { return place.request == 1 ? success(id) : refusal("") + success(id); });
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(run("r2").outcome == Outcome::Unknown);
+    // The answer of "r2" is still in the first connection.
+    CHECK(run("r3").outcome == Outcome::Ran);
+    CHECK(backend->connections == 2);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.failureWithoutId.isNotPassedOnFromAKeptConnection")
+{
+    // Guards against the failure of another request that a caller gets as its own answer.
+    serve([](const std::string &id, RawAnswerServer::Place place) {
+        return place.request == 1 ? success(id) : answer("500 Internal Server Error", "", "", "of another request") + success(id);
+    });
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(run("r2").outcome == Outcome::Unknown);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.firstAnswerOfAConnection.countsWithoutId")
+{
+    // Guards against refusals that count as runs: nothing else can be the first answer of a connection.
+    serve([](const std::string &, RawAnswerServer::Place) { return refusal(""); });
+    const ForwardResult first = run("r1");
+    CHECK(first.outcome == Outcome::NotRun);
+    CHECK(first.reason == Reason::Shed);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.answerWithoutIdAfterAForeignOne.provesNothing")
+{
+    // Guards against a refusal that counts as the first answer of its connection although an answer of another request came before.
+    serve([](const std::string &, RawAnswerServer::Place) { return refusal("r0") + refusal(""); });
+    CHECK(run("r1").outcome == Outcome::Unknown);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.requestWithoutId.isSentOnANewConnection")
+{
+    // Guards against "may have run" for requests without an id, which backend servers refuse without an id.
+    serve([](const std::string &id, RawAnswerServer::Place) { return id.empty() ? answer("400 Bad Request", "", "Not-Executed: 1\r\n") : success(id); });
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(run("").outcome == Outcome::NotRun);
+    CHECK(run("r2").outcome == Outcome::Ran);
+    CHECK(backend->connections == 2);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.repeatedMisdirectedAnswer.leavesTheGateOpen")
+{
+    // Guards against a sound backend server that gets no work any more, because an answer of an earlier request names another one.
+    serve([](const std::string &id, RawAnswerServer::Place place) { return place.request == 1 ? success(id) : misdirected("") + success(id); });
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(run("r2").outcome == Outcome::Unknown);
+    CHECK(run("r3").outcome == Outcome::Ran);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.misdirectedAnswerOfAnotherRequest.isSkipped")
+{
+    serve([](const std::string &id, RawAnswerServer::Place place) { return place.request == 1 ? success(id) : misdirected("r1") + success(id); });
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(run("r2").outcome == Outcome::Ran);
+    CHECK(backend->connections == 1);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.refusalWrittenTwice.endsTheConnection")
+{
+    serve([](const std::string &id, RawAnswerServer::Place place) { return place.connection == 1 ? refusal(id) + refusal(id) : success(id); });
+    CHECK(run("r1").outcome == Outcome::NotRun);
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(backend->connections == 2);
+}
