Send an id that was refused on a connection over another one

Cause: a request may be sent to a backend server that refused it before. If the refusal was written once more on the kept connection, it carried the right id and was read as that of the second dispatch, which the backend server was running.

Change: a connection remembers the ids of the refusals that were read on it, as hashes, and doesn't carry these requests again; other idle connections are taken first. With more than 256 such ids it is closed after its answer.

Measured: TargetService.sameIdAgain.isSentOnAnotherConnection failed before: an answer of the second dispatch was not taken and one connection was used for both. It passes now, and so does .manyRefusalsOnAConnection.endItInsteadOfGrowing, which failed as well.

Conclusion: an id is asked about once on each connection after a refusal, so a refusal that names it answers this dispatch. Through RequestRouter alone the case could not be found by reading: it queues only at targets whose daemon refused, not at those whose backend server did. Requests that a caller sends twice with one id get there.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <charconv>
+#include <unordered_set>
 
 namespace carobjunction
 {
@@ -18,6 +19,7 @@
 constexpr size_t LongBody = 16U << 10U; // longer bodies are sent while the answer is read, since it may come first
 constexpr uint32_t HeaderLimit = 64U << 10U;
 constexpr int MaxForeignAnswers = 4; // answers of other requests that are skipped on one connection
+constexpr size_t MaxRefusedIds = 256; // remembered for each connection, 8 bytes each; with more, it is closed
 constexpr double KeepAliveShare = 0.7; // part of the server's idle timeout after which a connection is closed
 
 } // namespace
@@ -33,8 +35,15 @@
         socket.close(ignored);
     }
 
+    /** @return whether a refusal of the request was read here, which the server may write once more; rarely true of others */
+    bool hasRefused(const std::string &requestId) const
+    {
+        return refusedIds.count(std::hash<std::string>()(requestId)) > 0;
+    }
+
     Tcp::socket socket;
     beast::flat_buffer buffer;
+    std::unordered_set<size_t> refusedIds; /**< Hashes of the ids. */
     TimePoint idleUntil;
     uint64_t answers = 0; /**< Answers read so far, those of other requests included. */
     bool isReusable = false;
@@ -46,15 +55,19 @@
 {
 }
 
-HttpClientPool::ConnectionPtr HttpClientPool::takeIdle()
+/** @return the connection used last of those that may carry the request, or null */
+HttpClientPool::ConnectionPtr HttpClientPool::takeIdle(const std::string &requestId)
 {
-    while (!m_idle.empty()) {
-        ConnectionPtr connection = m_idle.back();
-        m_idle.pop_back();
-        if (SteadyClock().now() < connection->idleUntil && isIdleAndOpen(connection->socket)) {
+    for (auto next = m_idle.end(); next != m_idle.begin();) {
+        --next;
+        const ConnectionPtr connection = *next;
+        if (SteadyClock().now() >= connection->idleUntil || !isIdleAndOpen(connection->socket)) {
+            next = m_idle.erase(next);
+            connection->close();
+        } else if (!connection->hasRefused(requestId)) {
+            m_idle.erase(next);
             return connection;
         }
-        connection->close();
     }
     return nullptr;
 }
@@ -132,7 +145,7 @@
 {
     const auto self = shared_from_this();
     ExchangeResult result;
-    ConnectionPtr connection = options.onNewConnection ? nullptr : takeIdle();
+    ConnectionPtr connection = options.onNewConnection ? nullptr : takeIdle(options.requestId);
     if (!connection) {
         connection = co_await connect(options, cancellation, result.detail);
     }
@@ -158,6 +171,9 @@
     }
     if (!error) {
         result.end = ExchangeEnd::Answered;
+        if (options.isRefusal && options.isRefusal(result.response)) {
+            connection->refusedIds.insert(std::hash<std::string>()(options.requestId));
+        }
         keep(connection, result.response);
         co_return result;
     }
@@ -169,7 +185,7 @@
 
 void HttpClientPool::keep(const ConnectionPtr &connection, const HttpResponse &response)
 {
-    if (!connection->isReusable || m_idle.size() >= m_limits.idleConnections) {
+    if (!connection->isReusable || connection->refusedIds.size() > MaxRefusedIds || m_idle.size() >= m_limits.idleConnections) {
         connection->close();
         return;
     }
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -43,6 +43,10 @@
      */
     std::function<bool(const HttpResponse &)> isNamed;
     bool onNewConnection = false; /**< For requests whose answers can't name them. */
+    /** Id of the request. A connection on which a refusal of it was read doesn't carry it again. Empty: it has none. */
+    std::string requestId;
+    /** Says whether an answer refuses the request, which may then be sent again under its id. Empty: none does. */
+    std::function<bool(const HttpResponse &)> isRefusal;
 };
 
 /** Bounds of the connections of a pool. */
@@ -55,7 +59,7 @@
  * Connections to one HTTP server, kept open between exchanges. Used on one event loop; not thread-safe.
  *
  * A connection is used again only after a complete answer that nothing followed. A server may still write an earlier answer once more
- * where the next one is due: see ExchangeOptions::belongs and ExchangeOptions::isNamed.
+ * where the next one is due: see ExchangeOptions::belongs, ExchangeOptions::isNamed and ExchangeOptions::requestId.
  */
 class HttpClientPool : public std::enable_shared_from_this<HttpClientPool>
 {
@@ -82,7 +86,7 @@
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    ConnectionPtr takeIdle();
+    ConnectionPtr takeIdle(const std::string &requestId);
     Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, std::string &detail);
     Task<ErrorCode> sendAndReceive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
     Task<ErrorCode> receive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -307,6 +307,10 @@
         return hasField(response, m_headers.requestId);
     };
     options.onNewConnection = request.requestId.empty();
+    options.requestId = request.requestId;
+    options.isRefusal = [this](const HttpResponse &response) {
+        return isRefusal(response);
+    };
     ExchangeResult exchange = co_await m_backend->exchange(toBackendMessage(request), std::move(options), cancellation);
     const ExchangeEnd end = exchange.end;
     ForwardResult result = classify(request, std::move(exchange));
@@ -335,6 +339,12 @@
     return ForwardResult::unanswered(exchange.end, Reason::TargetDown, std::move(exchange.detail));
 }
 
+/** @return whether the answer states that the request did not run */
+bool TargetService::isRefusal(const HttpResponse &response) const
+{
+    return response.result() == http::status::misdirected_request || hasField(response, m_headers.notExecuted);
+}
+
 /** @param response  names the request, or is the first answer of its connection: a refusal written once more never gets here */
 ForwardResult TargetService::classifyAnswer(const ForwardRequest &request, HttpResponse response)
 {
@@ -351,7 +361,7 @@
         result.reachedBackend = true;
         return result;
     }
-    if (hasField(response, m_headers.notExecuted)) {
+    if (isRefusal(response)) {
         ForwardResult result = ForwardResult::notRun(Reason::Shed);
         result.reachedBackend = true;
         return result;
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -93,6 +93,7 @@
     void applyLimit();
     HttpRequest toBackendMessage(ForwardRequest &request) const;
     ForwardResult classify(const ForwardRequest &request, ExchangeResult exchange);
+    bool isRefusal(const HttpResponse &response) const;
     ForwardResult classifyAnswer(const ForwardRequest &request, HttpResponse response);
     Task<void> checkForCrash();
     void onRecordChanged();
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -337,3 +337,31 @@
     CHECK(run("r1").outcome == Outcome::Ran);
     CHECK(backend->connections == 2);
 }
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.sameIdAgain.isSentOnAnotherConnection")
+{
+    // Guards against the refusal of the first dispatch of a request that is written once more and read as that of the second one.
+    serve([](const std::string &id, RawAnswerServer::Place place) {
+        return place.connection == 1 && place.request == 1 ? refusal(id) : (place.request == 1 ? "" : refusal("r1")) + success(id);
+    });
+    CHECK(run("r1").outcome == Outcome::NotRun);
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(backend->connections == 2);
+    // The connection of the refusal still serves other requests.
+    CHECK(run("r2").outcome == Outcome::Ran);
+    CHECK(backend->connections == 2);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.manyRefusalsOnAConnection.endItInsteadOfGrowing")
+{
+    // Guards against memory that grows with the refusals of a connection, and against ids that are forgotten while it is in use.
+    constexpr int RememberedIds = 256;
+    serve([](const std::string &id, RawAnswerServer::Place) { return refusal(id); });
+    for (int i = 0; i < RememberedIds; ++i) {
+        CHECK(run("r" + std::to_string(i)).outcome == Outcome::NotRun);
+    }
+    CHECK(backend->connections == 1);
+    run("next");
+    run("last");
+    CHECK(backend->connections == 2);
+}
