Bound the answers that a daemon holds by a budget of its memory

Cause: a backend server whose answers have no end was read up to 64 MB an answer, whatever else the daemon held. Nine slots take more than the 160 or 260 MB of a daemon, which is then killed with all requests that it serves. In the test the callers got 504 at the deadline, since the answers were still being read. Change: BodyBudget is a bound over all bodies, 65 % of the memory setting. HttpClientPool reads bodies in pieces for which room is taken; the room stays with the message (HttpMessage::room) and is given back with it. One body gets four fifths of what is free at most. Bodies are moved into the exchange and into the peer's message instead of copied, long blocks go back to the kernel, and the kernel holds less unread for connections to the backend server. A skipped answer of another request is not handed out any more with a lost exchange. Conclusion: bodies that grow at the same time stop each other while a fifth of the room is left, so the bound holds for any number of them.

--- a/src/connection/asio.h
+++ b/src/connection/asio.h
@@ -17,6 +17,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <memory>
+
 namespace carobjunction
 {
 
@@ -32,8 +34,22 @@
 template<typename T>
 using Task = asio::awaitable<T>;
 
-using HttpRequest = http::request<http::string_body>;
-using HttpResponse = http::response<http::string_body>;
+/** A message, and the room that its body takes of the process's BodyBudget. */
+template<bool isRequest>
+struct HttpMessage : http::message<isRequest, http::string_body> {
+    using Base = http::message<isRequest, http::string_body>;
+    using Base::Base;
+
+    HttpMessage() = default;
+    explicit HttpMessage(Base &&message) : Base(std::move(message))
+    {
+    }
+
+    std::shared_ptr<void> room; /**< Given back with the last copy. Null if the body isn't counted. */
+};
+
+using HttpRequest = HttpMessage<true>;
+using HttpResponse = HttpMessage<false>;
 
 /** Completion token of coroutines that take errors by value. */
 inline auto into(ErrorCode &error)
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -1,5 +1,6 @@
 #include "connection/httpclientpool.h"
 
+#include "connection/bodyroom.h"
 #include "connection/connectiontimer.h"
 #include "connection/socketoptions.h"
 
@@ -20,6 +21,12 @@
 constexpr int MaxForeignAnswers = 4; // answers of other requests that are skipped on one connection
 constexpr double KeepAliveShare = 0.7; // part of the server's idle timeout after which a connection is closed
 
+/** @return whether an exchange ended because its answer had no end that could be waited for */
+bool isTooLarge(const ErrorCode &error)
+{
+    return error == noBodyRoom() || error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow;
+}
+
 } // namespace
 
 struct HttpClientPool::Connection {
@@ -65,6 +72,11 @@
     const ConnectionTimer timer(m_loop, limit, [connection] { connection->close(); });
     const Cancellation::Registration registration(*cancellation, [connection] { connection->close(); });
     ErrorCode error;
+    if (m_limits.receiveBuffer > 0) {
+        ErrorCode ignored; // the kernel then takes its own size
+        connection->socket.open(m_server.protocol(), ignored);
+        connection->socket.set_option(Tcp::socket::receive_buffer_size(m_limits.receiveBuffer), ignored);
+    }
     co_await connection->socket.async_connect(m_server, into(error));
     if (error || !connection->socket.is_open()) {
         detail = error ? error.message() : "connection timed out";
@@ -83,13 +95,19 @@
         parser.body_limit(options.bodyLimit);
         parser.skip(request.method() == http::verb::head);
         ErrorCode error;
-        co_await http::async_read(connection->socket, connection->buffer, parser, into(error));
+        co_await http::async_read_header(connection->socket, connection->buffer, parser, into(error));
+        BodyRoom room(m_limits.bodies, 1);
+        if (!error) {
+            error = co_await readBodyInto(connection->socket, connection->buffer, parser, room);
+        }
         if (error) {
             co_return error;
         }
         const bool endsWithConnection = parser.need_eof();
-        response = parser.release();
-        if (!options.belongs || options.belongs(response)) {
+        HttpResponse received(parser.release());
+        received.room = room.complete(received.body().size());
+        if (!options.belongs || options.belongs(received)) {
+            response = std::move(received);
             connection->isReusable = !endsWithConnection && response.keep_alive() && connection->buffer.size() == 0;
             co_return ErrorCode();
         }
@@ -100,28 +118,28 @@
     co_return http::make_error_code(http::error::unexpected_body);
 }
 
-Task<ErrorCode> HttpClientPool::sendAndReceive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response)
+Task<ErrorCode>
+HttpClientPool::sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response)
 {
-    if (request.body().size() <= LongBody) {
+    if (request->body().size() <= LongBody) {
         ErrorCode error;
-        co_await http::async_write(connection->socket, request, into(error));
+        co_await http::async_write(connection->socket, *request, into(error));
         if (error) {
             co_return error;
         }
-        co_return co_await receive(connection, request, options, response);
+        co_return co_await receive(connection, *request, options, response);
     }
     const auto written = std::make_shared<bool>(false);
-    // The copy outlives this coroutine, which ends as soon as the answer is complete.
-    const auto copy = std::make_shared<HttpRequest>(request);
+    // The request may outlive this coroutine, which ends as soon as the answer is complete.
     asio::co_spawn(
         m_loop,
-        [connection, copy, written]() -> Task<void> {
+        [connection, request, written]() -> Task<void> {
             ErrorCode error;
-            co_await http::async_write(connection->socket, *copy, into(error));
+            co_await http::async_write(connection->socket, *request, into(error));
             *written = !error;
         },
         asio::detached);
-    const ErrorCode error = co_await receive(connection, request, options, response);
+    const ErrorCode error = co_await receive(connection, *request, options, response);
     connection->isReusable = connection->isReusable && *written;
     co_return error;
 }
@@ -138,6 +156,7 @@
         co_return result;
     }
     connection->isReusable = false;
+    const auto message = std::make_shared<const HttpRequest>(std::move(request));
     ErrorCode error;
     {
         const ConnectionTimer timer(m_loop, options.deadline, [connection] {
@@ -145,7 +164,7 @@
             connection->close();
         });
         const Cancellation::Registration registration(*cancellation, [connection] { connection->close(); });
-        error = co_await sendAndReceive(connection, request, options, result.response);
+        error = co_await sendAndReceive(connection, message, options, result.response);
     }
     if (!error) {
         result.end = ExchangeEnd::Answered;
@@ -153,7 +172,8 @@
         co_return result;
     }
     result.detail = error.message();
-    result.end = cancellation->isRequested() ? ExchangeEnd::Cancelled : connection->hasTimedOut ? ExchangeEnd::TimedOut : ExchangeEnd::Lost;
+    const ExchangeEnd cause = isTooLarge(error) ? ExchangeEnd::TooLarge : ExchangeEnd::Lost;
+    result.end = cancellation->isRequested() ? ExchangeEnd::Cancelled : connection->hasTimedOut ? ExchangeEnd::TimedOut : cause;
     connection->close();
     co_return result;
 }
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/clock.h>
 
 #include "connection/asio.h"
+#include "connection/bodybudget.h"
 #include "request/cancellation.h"
 
 #include <functional>
@@ -18,6 +19,7 @@
     Answered, /**< A complete answer arrived. */
     NotSent, /**< No connection could be opened, so nothing was sent. */
     Lost, /**< The request may have arrived; no complete answer came. */
+    TooLarge, /**< As Lost, because the answer was over its limit or found no room. */
     TimedOut, /**< As Lost, at the deadline. */
     Cancelled, /**< As Lost, because the caller left. */
 };
@@ -42,6 +44,8 @@
 struct PoolLimits {
     size_t idleConnections = 32;
     Duration idleTimeout = std::chrono::seconds(8); /**< Shorter than that of the server, which may close at the same moment. */
+    std::shared_ptr<BodyBudget> bodies = nullptr; /**< Room for the bodies of answers. Null: without a bound over all of them. */
+    int receiveBuffer = 0; /**< Bytes that the kernel may hold unread for a connection; 0: as the kernel sees fit. */
 };
 
 /**
@@ -76,7 +80,8 @@
 
     ConnectionPtr takeIdle();
     Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, std::string &detail);
-    Task<ErrorCode> sendAndReceive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
+    Task<ErrorCode>
+    sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
     Task<ErrorCode> receive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
     void keep(const ConnectionPtr &connection, const HttpResponse &response);
 
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -118,7 +118,7 @@
         co_return false;
     }
     ++m_listener->m_activeRequests;
-    const bool isKept = co_await answer(parser.release());
+    const bool isKept = co_await answer(HttpRequest(parser.release()));
     --m_listener->m_activeRequests;
     m_isBusy = false;
     co_return isKept;
--- a/src/connection/peerclients.cpp
+++ b/src/connection/peerclients.cpp
@@ -26,7 +26,9 @@
     if (!endpoint) {
         return nullptr;
     }
-    auto created = std::make_shared<HttpClientPool>(m_loop, *endpoint, PoolLimits {});
+    PoolLimits limits;
+    limits.bodies = m_bodies;
+    auto created = std::make_shared<HttpClientPool>(m_loop, *endpoint, limits);
     m_pools.emplace(address, created);
     return created;
 }
@@ -40,7 +42,8 @@
     ExchangeOptions options;
     options.deadline = request.deadlineAt + AnswerMargin;
     options.connectTimeout = isSameRegion ? NearConnectTimeout : FarConnectTimeout;
-    ExchangeResult exchange = co_await connections->exchange(PeerCodec::encode(request, SteadyClock().now()), std::move(options), std::move(cancellation));
+    ExchangeResult exchange
+        = co_await connections->exchange(PeerCodec::encode(std::move(request), SteadyClock().now()), std::move(options), std::move(cancellation));
     if (exchange.end != ExchangeEnd::Answered) {
         co_return ForwardResult::unanswered(exchange.end, Reason::PeerUnreachable, std::move(exchange.detail));
     }
--- a/src/connection/peerclients.h
+++ b/src/connection/peerclients.h
@@ -15,7 +15,8 @@
 class PeerClients
 {
 public:
-    explicit PeerClients(asio::io_context &loop) : m_loop(loop)
+    /** @param bodies  room for the bodies of answers; null: without a bound over all of them */
+    explicit PeerClients(asio::io_context &loop, std::shared_ptr<BodyBudget> bodies = nullptr) : m_loop(loop), m_bodies(std::move(bodies))
     {
     }
 
@@ -32,6 +33,7 @@
     std::shared_ptr<HttpClientPool> pool(const std::string &address);
 
     asio::io_context &m_loop;
+    std::shared_ptr<BodyBudget> m_bodies;
     std::map<std::string, std::shared_ptr<HttpClientPool>> m_pools;
 };
 
--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -36,9 +36,9 @@
 
 } // namespace
 
-HttpRequest PeerCodec::encode(const ForwardRequest &request, TimePoint now)
+HttpRequest PeerCodec::encode(ForwardRequest request, TimePoint now)
 {
-    HttpRequest message = request.message;
+    HttpRequest message = std::move(request.message);
     const Json field { { "id", request.requestId },      { "from", request.callerService },    { "service", request.service },
                        { "route", request.route },       { "backend", request.backend },       { "config", request.configVersion },
                        { "print", request.fingerprint }, { "idempotent", request.idempotent }, { "queue", request.mayQueue },
--- a/src/connection/peercodec.h
+++ b/src/connection/peercodec.h
@@ -38,7 +38,7 @@
     /** Field of the answer to a forwarded request. */
     static constexpr const char *ResultField = "Carob-Result";
 
-    static HttpRequest encode(const ForwardRequest &request, TimePoint now);
+    static HttpRequest encode(ForwardRequest request, TimePoint now);
 
     /** @return the request, or empty if the field is absent or can't be read */
     static std::optional<ForwardRequest> decode(HttpRequest message, TimePoint now);
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -69,14 +69,19 @@
     static constexpr Duration CrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
 
-    ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes, Metrics &metrics)
+    ClusterSync(asio::io_context &loop,
+                const VmSettings &settings,
+                VmDirectory &directory,
+                CrashHistory &crashes,
+                Metrics &metrics,
+                const std::shared_ptr<BodyBudget> &bodies)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_crashes(crashes)
         , m_metrics(metrics)
         , m_store(loop, toEndpoint(settings.storeAddress).value())
-        , m_peers(loop)
+        , m_peers(loop, bodies)
         , m_reports(loop, directory, metrics)
         , m_writeTimer(loop)
     {
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -35,6 +35,7 @@
     DispatchBytesCrossRegion,
     AnswersDiscarded,
     StoreFailures,
+    BodiesWithoutRoom,
     Count, /**< Number of counters. */
 };
 
@@ -60,6 +61,7 @@
         { Counter::DispatchBytesCrossRegion, "carobjunction_dispatch_bytes_cross_region_total" },
         { Counter::AnswersDiscarded, "carobjunction_answers_discarded_total" },
         { Counter::StoreFailures, "carobjunction_store_failures_total" },
+        { Counter::BodiesWithoutRoom, "carobjunction_bodies_without_room_total" },
     };
 };
 
@@ -86,16 +88,16 @@
     KnownVms,
     StoreReachable, /**< 1 or 0. */
     SlotLimit,
+    BodyBytesHeld,
     Count, /**< Number of gauges. */
 };
 
 template<>
 struct EnumNames<Gauge> {
     static constexpr std::pair<Gauge, std::string_view> Table[] = {
-        { Gauge::ConfigVersion, "carobjunction_config_version" },
-        { Gauge::KnownVms, "carobjunction_known_vms" },
-        { Gauge::StoreReachable, "carobjunction_store_reachable" },
-        { Gauge::SlotLimit, "carobjunction_slot_limit" },
+        { Gauge::ConfigVersion, "carobjunction_config_version" },   { Gauge::KnownVms, "carobjunction_known_vms" },
+        { Gauge::StoreReachable, "carobjunction_store_reachable" }, { Gauge::SlotLimit, "carobjunction_slot_limit" },
+        { Gauge::BodyBytesHeld, "carobjunction_body_bytes_held" },
     };
 };
 
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -18,6 +18,7 @@
 constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto RecallTime = std::chrono::milliseconds(1500); // after the start; the store or a peer answers sooner unless both are out of reach
 constexpr auto SuspensionLimit = std::chrono::milliseconds(250); // after a longer suspension, the entry may have given up
+constexpr int ReceiveBuffer = 128 << 10; // bytes; the kernel would hold up to 6 MB for each connection of a server that sends without end
 constexpr auto CloseMargin = std::chrono::milliseconds(20); // time for the backend server's own answer at its deadline
 
 /** @return the numbers of a comma-separated list; stops at the first that can't be read */
@@ -39,6 +40,14 @@
     return numbers;
 }
 
+PoolLimits backendLimits(std::shared_ptr<BodyBudget> bodies)
+{
+    PoolLimits limits;
+    limits.bodies = std::move(bodies);
+    limits.receiveBuffer = ReceiveBuffer;
+    return limits;
+}
+
 } // namespace
 
 TargetService::TargetService(asio::io_context &loop,
@@ -47,9 +56,10 @@
                              Duration silenceLimit,
                              CrashHistory &crashes,
                              WorkEstimates &work,
-                             TargetHooks hooks)
+                             TargetHooks hooks,
+                             std::shared_ptr<BodyBudget> bodies)
     : m_loop(loop)
-    , m_backend(std::make_shared<HttpClientPool>(loop, backend, PoolLimits {}))
+    , m_backend(std::make_shared<HttpClientPool>(loop, backend, backendLimits(std::move(bodies))))
     , m_headers(headers)
     , m_crashes(crashes)
     , m_work(work)
@@ -328,6 +338,14 @@
     if (exchange.end == ExchangeEnd::Answered) {
         return classifyAnswer(request, std::move(exchange.response));
     }
+    if (exchange.end == ExchangeEnd::TooLarge) {
+        EventLog::write(LogLevel::Warning,
+                        Event::AnswerDiscarded,
+                        { { "request", request.requestId },
+                          { "backend", request.backend },
+                          { "reason", std::string(nameOf(Reason::AnswerTooLarge)) },
+                          { "detail", exchange.detail } });
+    }
     return ForwardResult::unanswered(exchange.end, Reason::TargetDown, std::move(exchange.detail));
 }
 
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -36,6 +36,7 @@
     /**
      * @param crashes  outlives this object
      * @param work  outlives this object
+     * @param bodies  room for the bodies of answers; null: without a bound over all of them
      */
     TargetService(asio::io_context &loop,
                   const Tcp::endpoint &backend,
@@ -43,7 +44,8 @@
                   Duration silenceLimit,
                   CrashHistory &crashes,
                   WorkEstimates &work,
-                  TargetHooks hooks);
+                  TargetHooks hooks,
+                  std::shared_ptr<BodyBudget> bodies = nullptr);
 
     Task<ForwardResult> run(ForwardRequest request, CancellationPtr cancellation);
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -50,6 +50,11 @@
     static constexpr uint32_t LearnTicks = 10;
     /** Heartbeats that a backend server may miss. */
     static constexpr int MissedHeartbeats = 3;
+    /**
+     * Part of the memory that bodies may take. The rest is for the program itself, heads, and what the kernel holds for connections:
+     * 56 MB on the smallest VMs.
+     */
+    static constexpr double BodyShare = 0.65;
     /** Part of the grace period after which requests in progress are ended and answered. */
     static constexpr double AbortShare = 0.86;
     /** Part of the grace period after which the process ends in any case. */
@@ -66,6 +71,7 @@
         , m_settings(std::move(settings))
         , m_directory(m_settings.daemon, Place { m_settings.dataCentre, m_settings.region })
         , m_ledger(RetryAllowance { m_settings.retryRatio, static_cast<double>(m_settings.retrySlack), m_settings.retryWindow })
+        , m_bodies(std::make_shared<BodyBudget>(bodyBudget(m_settings), [this] { m_metrics.add(Counter::BodiesWithoutRoom); }))
         , m_target(loop,
                    toEndpoint(m_settings.backendAddress).value(),
                    Platform::headers(),
@@ -76,8 +82,9 @@
                                  [this](const CrashReport &report) { onCrash(report); },
                                  [this](const std::string &service) {
                                      return healthPath(service);
-                                 } })
-        , m_sync(loop, m_settings, m_directory, m_crashes, m_metrics)
+                                 } },
+                   m_bodies)
+        , m_sync(loop, m_settings, m_directory, m_crashes, m_metrics, m_bodies)
         , m_router(RouterEnvironment { [this] { return m_sync.routes(); },
                                        [this](std::string daemon, ForwardRequest request, CancellationPtr cancellation) {
                                            return forward(std::move(daemon), std::move(request), std::move(cancellation));
@@ -132,6 +139,8 @@
     }
 
 private:
+    static constexpr uint32_t MegaByte = 1U << 20U;
+
     using Handler = Task<MaybeResponse> (VmDaemon::*)(HttpRequest, CancellationPtr);
 
     bool listen(std::shared_ptr<HttpListener> &port, const std::string &address, Handler handler)
@@ -149,14 +158,18 @@
         return port != nullptr;
     }
 
+    static uint64_t bodyBudget(const VmSettings &settings)
+    {
+        return static_cast<uint64_t>(settings.memoryMb * BodyShare * MegaByte);
+    }
+
     ListenerLimits listenerLimits(bool isCaller) const
     {
         constexpr double DescriptorShare = 0.5; // the other half is for peers and the backend server
-        constexpr uint32_t MegaBytes = 1U << 20U;
         constexpr uint32_t MemoryPart = 4; // largest message, as a part of the memory
         ListenerLimits limits;
         limits.connections = static_cast<size_t>(m_settings.maxDescriptors * DescriptorShare);
-        limits.bodyBytes = uint64_t { m_settings.memoryMb } * MegaBytes / MemoryPart;
+        limits.bodyBytes = uint64_t { m_settings.memoryMb } * MegaByte / MemoryPart;
         const auto routes = m_sync.routes();
         if (isCaller && routes) {
             limits.headerBytes = routes->limits().headerBytes;
@@ -212,6 +225,7 @@
         if (std::string_view(message.target().data(), message.target().size()) == MetricsPath) {
             HttpResponse figures(http::status::ok, 11);
             figures.set(http::field::content_type, "text/plain; version=0.0.4");
+            m_metrics.set(Gauge::BodyBytesHeld, m_bodies->held());
             figures.body() = m_metrics.toPrometheus();
             co_return figures;
         }
@@ -351,6 +365,7 @@
     CrashHistory m_crashes;
     WorkEstimates m_work;
     Metrics m_metrics;
+    std::shared_ptr<BodyBudget> m_bodies; /**< Room for the bodies that the process holds. */
     TargetService m_target;
     ClusterSync<Platform> m_sync;
     RequestRouter m_router;
--- a/src/request/forwarding.h
+++ b/src/request/forwarding.h
@@ -62,8 +62,22 @@
             result.detail = std::move(detail);
             return result;
         }
-        const Reason reason = end == ExchangeEnd::TimedOut ? Reason::DeadlineExceeded : end == ExchangeEnd::Cancelled ? Reason::Cancelled : Reason::AnswerLost;
-        return unknown(reason, std::move(detail));
+        return unknown(reasonOf(end), std::move(detail));
+    }
+
+    /** @return why the outcome of an exchange is unknown */
+    static Reason reasonOf(ExchangeEnd end)
+    {
+        switch (end) {
+        case ExchangeEnd::TimedOut:
+            return Reason::DeadlineExceeded;
+        case ExchangeEnd::Cancelled:
+            return Reason::Cancelled;
+        case ExchangeEnd::TooLarge:
+            return Reason::AnswerTooLarge;
+        default:
+            return Reason::AnswerLost;
+        }
     }
 
     static ForwardResult unknown(Reason reason, std::string detail = {})
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -408,10 +408,10 @@
 }
 
 /** Final answer when no backend server gave one. */
-HttpResponse RequestRouter::finish(const Call &call, Reason reason, Duration retryAfter)
+HttpResponse RequestRouter::finish(Call &call, Reason reason, Duration retryAfter)
 {
     if (call.failure) {
-        return *call.failure;
+        return std::move(*call.failure);
     }
     if (!call.mayHaveRun) {
         return refuse(call, reason, retryAfter);
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -74,7 +74,7 @@
     std::optional<HttpResponse> judgeRefusal(Call &call, const std::string &daemon, const ForwardResult &result);
     std::optional<HttpResponse> judgeLoss(Call &call, const std::string &daemon, const ForwardResult &result);
     bool mayRepeat(Call &call, TimePoint now);
-    HttpResponse finish(const Call &call, Reason reason, Duration retryAfter);
+    HttpResponse finish(Call &call, Reason reason, Duration retryAfter);
     HttpResponse refuse(const Call &call, Reason reason, Duration retryAfter);
 
     RouterEnvironment m_environment;
--- /dev/null
+++ b/tests/connection/endlessbytestest.cpp
@@ -0,0 +1,97 @@
+#include "connection/endlessserver.h"
+#include "connection/httpexchangefixture.h"
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr uint64_t KiloByte = 1U << 10U;
+constexpr uint64_t MegaByte = 1U << 20U;
+
+const std::string Fields = "HTTP/1.1 200 OK\r\nId: r\r\n";
+const std::string Piece = std::string(64 * KiloByte, 'x');
+
+} // namespace
+
+/** Exchanges with a server whose answers have no end. */
+struct EndlessBytesFixture : HttpExchangeFixture {
+    /** @return how an exchange ends whose answer begins with @p first, followed by @p repeated without end */
+    ExchangeResult receive(const std::string &first, const std::string &repeated, Duration pause = Duration::zero())
+    {
+        EndlessServer server(loop, [&](const std::string &) { return EndlessAnswer { first, repeated, pause }; });
+        PoolLimits limits;
+        limits.bodies = bodies;
+        const auto pool = std::make_shared<HttpClientPool>(loop, server.address(), limits);
+        const ExchangeResult result = exchange(*pool, time);
+        sent = server.sent;
+        heldAfter = bodies->held();
+        loop.restart();
+        loop.run_for(100ms);
+        isClosed = server.ended == 1;
+        return result;
+    }
+
+    std::shared_ptr<BodyBudget> bodies = std::make_shared<BodyBudget>(8 * MegaByte);
+    Duration time = 5s;
+    uint64_t sent = 0; /**< Bytes that the server could send before the exchange ended. */
+    uint64_t heldAfter = 0;
+    bool isClosed = false; /**< Whether the connection was closed then. */
+};
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.body.endsAtTheRoomThatIsLeft")
+{
+    // Guards against one answer that is read up to 64 MB whatever memory is left: four of them are over that of a VM.
+    constexpr uint64_t KernelBytes = 8 * MegaByte; // of both ends of a connection
+    for (const auto &[framing, piece] : { std::pair<std::string, std::string> { "Content-Length: 60000000\r\n\r\n", Piece },
+                                          { "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + Piece + "\r\n" },
+                                          { "\r\n", Piece } }) {
+        INFO(framing);
+        CHECK(receive(Fields + framing, piece).end == ExchangeEnd::TooLarge);
+        CHECK(sent < 7 * MegaByte + KernelBytes);
+        CHECK(heldAfter == 0);
+        CHECK(isClosed);
+    }
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.answersOfOtherRequests.leaveNothingHeld")
+{
+    // Guards against skipped answers whose room isn't given back.
+    const std::string foreign = "HTTP/1.1 200 OK\r\nId: former\r\nContent-Length: " + std::to_string(Piece.size()) + "\r\n\r\n" + Piece;
+    CHECK(receive("", foreign).end == ExchangeEnd::Lost);
+    CHECK(heldAfter == 0);
+    CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.bodyThatTrickles.endsAtTheDeadline")
+{
+    time = 200ms;
+    CHECK(receive(Fields + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 5ms).end == ExchangeEnd::TimedOut);
+    CHECK(heldAfter == 0);
+    CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.completeAnswer.isCountedAsLongAsItIsHeld")
+{
+    {
+        const std::string body(MegaByte, 'x');
+        const ExchangeResult result = receive(Fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, "");
+        CHECK(result.end == ExchangeEnd::Answered);
+        CHECK(result.response.body().size() == MegaByte);
+        CHECK(heldAfter == MegaByte);
+        HttpResponse answer = result.response;
+        answer = HttpResponse(http::status::ok, 11);
+        CHECK(bodies->held() == MegaByte);
+    }
+    CHECK(bodies->held() == 0);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.largeProperAnswer.passesWhenNothingElseIsHeld")
+{
+    const std::string body(6 * MegaByte, 'x');
+    CHECK(receive(Fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, "").end == ExchangeEnd::Answered);
+    const auto other = bodies->reserve(MegaByte);
+    REQUIRE(other);
+    CHECK(receive(Fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, "").end == ExchangeEnd::TooLarge);
+}
--- /dev/null
+++ b/tests/platform/endlessanswerstest.cpp
@@ -0,0 +1,92 @@
+#include "platform/platformdaemonfixture.h"
+
+#include "connection/endlessserver.h"
+
+#include <sstream>
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr uint32_t SmallestVmMb = 160;
+constexpr int Slots = 9; // of a backend server
+
+std::string fieldOf(const std::string &request, const std::string &name)
+{
+    const size_t at = request.find(name + ": ");
+    return at == std::string::npos ? "" : request.substr(at + name.size() + 2, request.find("\r\n", at) - at - name.size() - 2);
+}
+
+/** A backend server whose orders are answered by bodies without end; lookups are answered properly. */
+EndlessAnswer endlessForOrders(const std::string &request)
+{
+    if (request.starts_with("GET /healthz")) {
+        return { "HTTP/1.1 200 OK\r\nX-Server-Load: 0,0,9,100\r\nContent-Length: 2\r\n\r\nok", "" };
+    }
+    const std::string fields = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + fieldOf(request, "X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n";
+    if (request.starts_with("GET /look/")) {
+        return { fields + "Content-Length: 4\r\n\r\nfine", "" };
+    }
+    return { fields + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + std::string(0x10000, 'x') + "\r\n" };
+}
+
+/** @return the largest resident memory that a process had, in MB */
+uint64_t peakMemoryMb(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoull(line.substr(std::string("VmHWM:").size())) / 1024;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(PlatformDaemonFixture, "EndlessAnswers.allSlotsAtOnce.theDaemonStaysInItsMemory")
+{
+    // Guards against a daemon that a faulty backend server fills until the platform kills it, with all requests that it serves.
+    REQUIRE(servesLookups());
+    Vm &owner = vms[1];
+    owner.backend->crash();
+    EndlessServer server(loop, &endlessForOrders, toEndpoint(owner.backend->address())->port());
+    owner.daemon->kill();
+    owner.moreSettings = "memory: " + std::to_string(SmallestVmMb) + "\n";
+    start(owner);
+    REQUIRE(waitFor([&] { return get(owner.ready, "/v1/readyz") == 200; }));
+    REQUIRE(beat(owner) == 200);
+    REQUIRE(servesLookups());
+
+    std::vector<std::shared_ptr<std::optional<ExchangeResult>>> orders;
+    for (int i = 0; i < Slots; ++i) {
+        orders.push_back(begin(vms[0].caller, request(http::verb::post, "/order/" + std::to_string(i))));
+    }
+    const auto lookup = begin(vms[0].caller, request(http::verb::get, "/look/2"));
+    CHECK(waitFor([&] { return std::all_of(orders.begin(), orders.end(), [](const auto &order) { return order->has_value(); }); }, 9s));
+    for (const auto &order : orders) {
+        REQUIRE(order->has_value());
+        REQUIRE((*order)->end == ExchangeEnd::Answered);
+        CHECK((*order)->response.result_int() == 502);
+        CHECK((*order)->response.body().find("answer-too-large") != std::string::npos);
+    }
+    REQUIRE(waitFor([&] { return lookup->has_value(); }));
+    CHECK((*lookup)->response.result_int() == 200);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(call(http::verb::get, "/look/3").result_int() == 200);
+    }
+    CHECK(server.ended == Slots);
+    const uint64_t ownerMb = peakMemoryMb(owner.daemon->pid());
+    const uint64_t entryMb = peakMemoryMb(vms[0].daemon->pid());
+    INFO("peak at the owner " << ownerMb << " MB, at the entry " << entryMb << " MB");
+    CHECK(ownerMb > 0);
+    CHECK(ownerMb < SmallestVmMb);
+    CHECK(entryMb < SmallestVmMb);
+    const HttpResponse figures = send(owner.control, HttpRequest(http::verb::get, "/metrics", 11));
+    CHECK(figures.body().find("\ncarobjunction_body_bytes_held 0\n") != std::string::npos);
+    CHECK(figures.body().find("\ncarobjunction_bodies_without_room_total 0\n") == std::string::npos);
+}
--- a/tests/platform/platformdaemonfixture.h
+++ b/tests/platform/platformdaemonfixture.h
@@ -24,6 +24,7 @@
     std::string name;
     std::string service;
     std::string settingsFile;
+    std::string moreSettings; /**< Further lines of the settings file. */
     std::string logFile; /**< Standard output and standard error of all starts of the daemon. */
     std::unique_ptr<StandInBackend> backend;
     std::unique_ptr<bench::ChildProcess> daemon;
@@ -65,8 +66,8 @@
     {
         std::ofstream file(vm.settingsFile);
         file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backend->address() << "\n"
-             << vm.settings() << "store-address: " << (storeAddress.empty() ? store.address() : storeAddress)
-             << "\nheartbeat-interval: 10s\ngrace-period: 4s\n";
+             << vm.settings() << "store-address: " << (storeAddress.empty() ? store.address() : storeAddress) << "\nheartbeat-interval: 10s\ngrace-period: 4s\n"
+             << vm.moreSettings;
         file.close();
         setenv("CAROBJUNCTION_NODE_FILE", vm.settingsFile.c_str(), 1);
         vm.daemon = bench::ChildProcess::startLogged({ std::string(CAROBJUNCTION_BINARY_DIR) + "/platform/carobjunction-platformd" }, vm.logFile);
