--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -74,14 +74,19 @@
     /** State of a peer that is read: routes and records of far more VMs than the design's largest size has. */
     static constexpr JsonBounds StateBounds { size_t { 64 } << 20U, 4 };
 
-    ClusterSync(asio::io_context &loop, const VmSettings &settings, VmDirectory &directory, CrashHistory &crashes, Metrics &metrics)
+    ClusterSync(asio::io_context &loop,
+                const VmSettings &settings,
+                VmDirectory &directory,
+                CrashHistory &crashes,
+                Metrics &metrics,
+                const std::shared_ptr<BodyBudget> &bodies)
         : m_loop(loop)
         , m_settings(settings)
         , m_directory(directory)
         , m_crashes(crashes)
         , m_metrics(metrics)
         , m_store(loop, toEndpoint(settings.storeAddress).value())
-        , m_peers(loop)
+        , m_peers(loop, bodies)
         , m_reports(loop, directory, metrics)
         , m_writeTimer(loop)
     {
