--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/bodyroom.h"
 #include "connection/connectiontimer.h"
+#include "connection/detachedtask.h"
 #include "connection/socketoptions.h"
 
 #include <boost/beast/http/error.hpp>
@@ -133,6 +134,13 @@
     co_return http::make_error_code(http::error::unexpected_body);
 }
 
+Task<void> HttpClientPool::sendWhole(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> written)
+{
+    ErrorCode error;
+    co_await http::async_write(connection->socket, *request, into(error));
+    *written = !error;
+}
+
 Task<ErrorCode>
 HttpClientPool::sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response)
 {
@@ -146,14 +154,7 @@
     }
     const auto written = std::make_shared<bool>(false);
     // The request may outlive this coroutine, which ends as soon as the answer is complete.
-    asio::co_spawn(
-        m_loop,
-        [connection, request, written]() -> Task<void> {
-            ErrorCode error;
-            co_await http::async_write(connection->socket, *request, into(error));
-            *written = !error;
-        },
-        asio::detached);
+    spawnDetached(m_loop, "send-request", sendWhole(connection, request, written));
     const ErrorCode error = co_await receive(connection, *request, options, response);
     connection->isReusable = connection->isReusable && *written;
     co_return error;
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -94,6 +94,7 @@
     Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, std::string &detail);
     Task<ErrorCode>
     sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
+    static Task<void> sendWhole(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> written);
     Task<ErrorCode> receive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
     void keep(const ConnectionPtr &connection, const HttpResponse &response);
 
