Give the health questions connections of their own

Cause: health questions shared the connections of requests, have no id, and took any answer. A late extra answer was read as theirs; the real answer, often a refusal, then stood in the connection where the answer of the next request was due. An answer of a request was also read as the load of the VM.

Change: BackendProbe keeps one connection of its own and skips answers that name a request.

Measured: with the code before this commit TargetService.refusalRepeatedToTheProbe failed (outcome Unknown of a request that ran to its end) and .requestAnswerRepeatedToTheProbe.isNotReadAsLoad too (request refused by a load that was not told).

Conclusion: an answer left over by a health question can only reach the next health question, which costs one stale load figure.

--- a/src/process/backendprobe.cpp
+++ b/src/process/backendprobe.cpp
@@ -3,8 +3,12 @@
 namespace carobjunction
 {
 
-BackendProbe::BackendProbe(asio::io_context &loop, std::shared_ptr<HttpClientPool> backend, Duration interval, Reader reader)
-    : m_loop(loop), m_backend(std::move(backend)), m_interval(interval), m_reader(std::move(reader))
+BackendProbe::BackendProbe(asio::io_context &loop, const Tcp::endpoint &backend, Duration interval, Filter belongs, Reader reader)
+    : m_loop(loop)
+    , m_connections(std::make_shared<HttpClientPool>(loop, backend, PoolLimits { 1 }))
+    , m_interval(interval)
+    , m_belongs(std::move(belongs))
+    , m_reader(std::move(reader))
 {
 }
 
@@ -24,9 +28,10 @@
     ExchangeOptions options;
     options.deadline = now + AnswerTimeout;
     options.connectTimeout = AnswerTimeout;
+    options.belongs = m_belongs;
     HttpRequest question(http::verb::get, path, 11);
     question.set(http::field::host, "health");
-    const ExchangeResult exchange = co_await m_backend->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
+    const ExchangeResult exchange = co_await m_connections->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
     if (exchange.end != ExchangeEnd::Answered || !m_reader(exchange.response)) {
         m_notBefore = now + FailurePause;
     }
--- a/src/process/backendprobe.h
+++ b/src/process/backendprobe.h
@@ -24,16 +24,27 @@
     /** Takes an answer. @return whether it told the load */
     using Reader = std::function<bool(const HttpResponse &)>;
 
+    /** Says whether an answer can be that of a question, which has no id of a request. */
+    using Filter = std::function<bool(const HttpResponse &)>;
+
     /** @param interval  shortest time between two questions */
-    BackendProbe(asio::io_context &loop, std::shared_ptr<HttpClientPool> backend, Duration interval, Reader reader);
+    BackendProbe(asio::io_context &loop, const Tcp::endpoint &backend, Duration interval, Filter belongs, Reader reader);
 
     /** Asks, or waits for the answer to a question under way. Returns at once if it is too early for another question. */
     Task<void> refresh(std::string path);
 
+    /** Closes the idle connections. */
+    void closeIdle()
+    {
+        m_connections->closeIdle();
+    }
+
 private:
     asio::io_context &m_loop;
-    std::shared_ptr<HttpClientPool> m_backend;
+    /** No others use them: an answer to a question that is left in a connection names no request either. */
+    std::shared_ptr<HttpClientPool> m_connections;
     Duration m_interval;
+    Filter m_belongs;
     Reader m_reader;
     TimePoint m_notBefore;
     std::shared_ptr<asio::steady_timer> m_pending; /**< Cancelled when the question under way ends. */
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -56,7 +56,12 @@
     , m_hooks(std::move(hooks))
     , m_gate(silenceLimit)
     , m_recallLimit(SteadyClock().now() + RecallTime)
-    , m_probe(loop, m_backend, HostSlowness::Freshness, [this](const HttpResponse &response) { return readLoad(response); })
+    , m_probe(
+          loop,
+          backend,
+          HostSlowness::Freshness,
+          [this](const HttpResponse &response) { return fieldText(response, m_headers.requestId).empty(); },
+          [this](const HttpResponse &response) { return readLoad(response); })
 {
 }
 
@@ -113,6 +118,7 @@
     if (!m_gate.isOpen()) {
         m_slots.closeAll();
         m_backend->closeIdle();
+        m_probe.closeIdle();
     }
     m_hooks.onRecordChanged();
 }
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -365,3 +365,41 @@
     run("last");
     CHECK(backend->connections == 2);
 }
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.refusalRepeatedToTheProbe.isNotThatOfTheNextRequest")
+{
+    // Guards against a probe that takes a late extra answer for its own, and so leaves the refusal of the probe to a request that runs.
+    healthPath = "/health";
+    int refused = 0;
+    backend.emplace(loop, [&](Tcp::socket &socket, HttpRequest message, RawAnswerServer::Place) -> Task<void> {
+        const std::string refusedProbe = answer("503 Service Unavailable", "", "Not-Executed: 1\r\nLoad: 0,0,9,100\r\n");
+        const std::string id = fieldText(message, "Request-Id");
+        std::string bytes = refusedProbe;
+        if (message.target() != "/health") {
+            bytes = ++refused == 1 ? refusal(id) : success(id);
+        } else if (refused == 1) {
+            co_await RawAnswerServer::write(socket, refusedProbe);
+            asio::steady_timer pause(loop, 10ms); // the connection seems free in this time
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        co_await RawAnswerServer::write(socket, bytes);
+    });
+    announceBackend(backend->address());
+    CHECK(run("r1").outcome == Outcome::NotRun);
+    runFor(30ms);
+    CHECK(run("r2").outcome == Outcome::Ran);
+}
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.requestAnswerRepeatedToTheProbe.isNotReadAsLoad")
+{
+    // Guards against work that is withheld because of the load in an answer of a request, which the probe did not ask for.
+    healthPath = "/health";
+    backend.emplace(loop, [&](Tcp::socket &socket, HttpRequest message, RawAnswerServer::Place) {
+        const std::string health = answer("200 OK", "", "Load: 0,0,9,100\r\n", "healthy");
+        const std::string slow = answer("200 OK", "r0", "Seal: seal\r\nLoad: 0,0,9,500\r\n");
+        return RawAnswerServer::write(socket, message.target() == "/health" ? slow + health : success(fieldText(message, "Request-Id")));
+    });
+    announceBackend(backend->address());
+    CHECK(run("r1").outcome == Outcome::Ran);
+    CHECK(target->report().slowness < 2);
+}
