End answers whose chunk headers, trailers or interim answers have no end

Cause: Beast bounds the head of a message, but neither a chunk header nor trailers: they were collected in the read buffer until the deadline. An answer 1xx was taken for the final one, and passed on to the caller if it has no id of another request. Change: the read buffer of a connection holds 128 KB at most; an answer that needs more ends as TooLarge. Interim answers are skipped, up to 8 before an answer; 101, which nobody asked for, ends the exchange as lost. Refuted, with tests kept: heads, status lines and empty lines without end were bounded before, and a head that trickles ended at the deadline. HttpClientPool.* and BackendClient.* pass. Conclusion: what is not a counted body can't exceed the read buffer.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -18,9 +18,18 @@
 
 constexpr size_t LongBody = 16U << 10U; // longer bodies are sent while the answer is read, since it may come first
 constexpr uint32_t HeaderLimit = 64U << 10U;
+constexpr size_t UnparsedLimit = 2 * HeaderLimit; // bytes that are held before they can be parsed, such as chunk headers and trailers
+constexpr int MaxInterimAnswers = 8; // 1xx answers that are skipped before one answer
 constexpr int MaxForeignAnswers = 4; // answers of other requests that are skipped on one connection
 constexpr double KeepAliveShare = 0.7; // part of the server's idle timeout after which a connection is closed
 
+/** @return whether an answer only announces another. A change of protocol, which nobody asked for, is no such answer. */
+bool isInterim(const http::response<http::string_body> &response)
+{
+    // By number, since Beast has no names for newer ones.
+    return http::to_status_class(response.result_int()) == http::status_class::informational && response.result() != http::status::switching_protocols;
+}
+
 /** @return whether an exchange ended because its answer had no end that could be waited for */
 bool isTooLarge(const ErrorCode &error)
 {
@@ -41,7 +50,7 @@
     }
 
     Tcp::socket socket;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { UnparsedLimit };
     TimePoint idleUntil;
     bool isReusable = false;
     bool hasTimedOut = false;
@@ -89,7 +98,8 @@
 
 Task<ErrorCode> HttpClientPool::receive(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response)
 {
-    for (int i = 0; i < MaxForeignAnswers; ++i) {
+    int interim = 0;
+    for (int foreign = 0; foreign < MaxForeignAnswers;) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(HeaderLimit);
         parser.body_limit(options.bodyLimit);
@@ -103,7 +113,16 @@
         if (error) {
             co_return error;
         }
+        if (isInterim(parser.get())) {
+            if (++interim > MaxInterimAnswers) {
+                break;
+            }
+            continue;
+        }
         const bool endsWithConnection = parser.need_eof();
+        if (parser.get().result() == http::status::switching_protocols) {
+            break;
+        }
         HttpResponse received(parser.release());
         received.room = room.complete(received.body().size());
         if (!options.belongs || options.belongs(received)) {
@@ -114,6 +133,7 @@
         if (endsWithConnection) {
             break;
         }
+        ++foreign;
     }
     co_return http::make_error_code(http::error::unexpected_body);
 }
--- a/tests/connection/endlessbytestest.cpp
+++ b/tests/connection/endlessbytestest.cpp
@@ -72,6 +72,50 @@
     CHECK(isClosed);
 }
 
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.head.endsAtItsLimit")
+{
+    // Guards against heads, chunk headers and trailers that fill the memory, since no body is read that could be counted.
+    constexpr uint64_t KernelBytes = 8 * MegaByte; // of both ends of a connection
+    const std::string chunked = Fields + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto &[first, piece] : { std::pair<std::string, std::string> { Fields + "Long: ", Piece },
+                                        { Fields, "Field: value\r\n" },
+                                        { "HTTP/1.1 200 ", Piece },
+                                        { chunked + "1;extension=", Piece },
+                                        { chunked + "1\r\nx\r\n0\r\n", "Trailer: value\r\n" },
+                                        { chunked + "1\r\nx\r\n0\r\nTrailer: ", Piece } }) {
+        INFO(first);
+        CHECK(receive(first, piece).end == ExchangeEnd::TooLarge);
+        CHECK(sent < MegaByte + KernelBytes);
+        CHECK(isClosed);
+    }
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.emptyLinesBeforeTheAnswer.endTheExchange")
+{
+    CHECK(receive("", "\r\n").end == ExchangeEnd::Lost);
+    CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.headThatTrickles.endsAtTheDeadline")
+{
+    time = 200ms;
+    CHECK(receive(Fields + "Long: ", "x", 5ms).end == ExchangeEnd::TimedOut);
+    CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.interimAnswers.areNotTheAnswer")
+{
+    // Guards against an interim answer that is passed on as the backend server's last word, and against any number of them.
+    isOfAnyRequest = true;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const ExchangeResult result = receive(interim + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + Complete, "");
+    CHECK(result.end == ExchangeEnd::Answered);
+    CHECK(result.response.result_int() == 200);
+    CHECK(receive("", interim).end == ExchangeEnd::Lost);
+    CHECK(isClosed);
+    CHECK(receive("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", Piece).end == ExchangeEnd::Lost);
+}
+
 TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.completeAnswer.isCountedAsLongAsItIsHeld")
 {
     {
--- a/tests/connection/httpexchangefixture.h
+++ b/tests/connection/httpexchangefixture.h
@@ -27,8 +27,8 @@
         request.prepare_payload();
         ExchangeOptions options;
         options.deadline = SteadyClock().now() + time;
-        options.belongs = [](const HttpResponse &response) {
-            return fieldText(response, "Id") == "r";
+        options.belongs = [this](const HttpResponse &response) {
+            return isOfAnyRequest || fieldText(response, "Id") == "r";
         };
         std::optional<ExchangeResult> result;
         asio::co_spawn(
@@ -44,6 +44,7 @@
     }
 
     asio::io_context loop { 1 };
+    bool isOfAnyRequest = false; /**< Takes answers without the id of the request for its own. */
 };
 
 } // namespace carobjunction
