Refuse callers' bodies for which the daemon has no room

Cause: each body was bounded by a quarter of the memory, but not all of them together, and the entry holds a body several times. Change: HttpListener reads bodies in pieces for which room of the BodyBudget is taken, twice at the entry, which keeps the body for another attempt. Without room the request is refused before it runs: 503 with Retry-After and the new reason body-room for callers, "not run" with the reason full between daemons, so that the entry can choose another target. What the body had taken is given back before the refusal is sent.

--- a/include/carobjunction/request/reason.h
+++ b/include/carobjunction/request/reason.h
@@ -36,6 +36,7 @@
     KeyMismatch = 26, /**< The idempotency key was used before with another request. */
     AdaptiveLimit = 27, /**< The adaptive concurrency limit of the target is reached. */
     HostSlow = 28, /**< Work is slow on the target's VM at this moment. */
+    BodyRoom = 29, /**< The entry daemon had no room for the body. Not sent between daemons. */
 };
 
 template<>
@@ -70,6 +71,7 @@
         { Reason::KeyMismatch, "key-mismatch" },
         { Reason::AdaptiveLimit, "adaptive-limit" },
         { Reason::HostSlow, "host-slow" },
+        { Reason::BodyRoom, "body-room" },
     };
 };
 
--- a/src/connection/bodyroom.h
+++ b/src/connection/bodyroom.h
@@ -40,6 +40,16 @@
         return !m_reservation || m_reservation->resize(bytes * (isLengthKnown ? m_copies : std::max(m_copies, GrowthCopies)));
     }
 
+    /** @return whether there is room at this moment for a body that announces @p bytes; takes none */
+    bool hasRoom(uint64_t bytes)
+    {
+        const bool fits = grow(bytes, true);
+        if (m_reservation) {
+            m_reservation->resize(0);
+        }
+        return fits;
+    }
+
     /** @return the room of a complete body, for HttpMessage::room */
     std::shared_ptr<void> complete(uint64_t bytes)
     {
--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "connection/httplistener.h"
 
+#include "connection/bodyroom.h"
 #include "connection/socketoptions.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -61,10 +62,12 @@
 
     Task<bool> serveOne();
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
-    Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
+    Task<bool> readBody(Parser &parser, const ListenerLimits &limits, BodyRoom &room);
     Task<bool> answer(HttpRequest request);
     Task<void> rejectUnreadable(ErrorCode error);
     Task<void> reject(http::status status);
+    Task<void> reject(HttpResponse response);
+    Task<void> refuseForRoom(Parser &parser, BodyRoom &room);
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
     void closeAfter(Duration time);
@@ -114,11 +117,14 @@
         co_return false;
     }
     m_isBusy = true;
-    if (!co_await readBody(parser, limits)) {
+    BodyRoom room(limits.bodies, limits.bodyCopies);
+    if (!co_await readBody(parser, limits, room)) {
         co_return false;
     }
     ++m_listener->m_activeRequests;
-    const bool isKept = co_await answer(HttpRequest(parser.release()));
+    HttpRequest request(parser.release());
+    request.room = room.complete(request.body().size());
+    const bool isKept = co_await answer(std::move(request));
     --m_listener->m_activeRequests;
     m_isBusy = false;
     co_return isKept;
@@ -144,26 +150,46 @@
     co_return false;
 }
 
-Task<bool> HttpListener::Session::readBody(Parser &parser, const ListenerLimits &limits)
+Task<bool> HttpListener::Session::readBody(Parser &parser, const ListenerLimits &limits, BodyRoom &room)
 {
     if (parser.is_done()) {
         co_return true;
     }
+    if (!room.hasRoom(parser.content_length().value_or(0))) {
+        co_await refuseForRoom(parser, room);
+        co_return false;
+    }
     ErrorCode error;
     if (parser.get()[http::field::expect] == "100-continue") {
         http::response<http::string_body> interim(http::status::continue_, parser.get().version());
         co_await http::async_write(m_socket, interim, into(error));
     }
     closeAfter(limits.bodyTimeout);
-    co_await http::async_read(m_socket, m_buffer, parser, into(error));
+    error = co_await readBodyInto(m_socket, m_buffer, parser, room);
     m_timer.cancel();
     if (!error) {
         co_return true;
     }
-    co_await rejectUnreadable(error);
+    if (error == noBodyRoom()) {
+        co_await refuseForRoom(parser, room);
+    } else {
+        co_await rejectUnreadable(error);
+    }
     co_return false;
 }
 
+/** Refuses a request before the handler gets it, and gives back what its body has taken. */
+Task<void> HttpListener::Session::refuseForRoom(Parser &parser, BodyRoom &room)
+{
+    std::string().swap(parser.get().body());
+    room.complete(0);
+    HttpResponse response(http::status::service_unavailable, 11);
+    if (m_listener->m_refuseForRoom) {
+        response = m_listener->m_refuseForRoom(parser.get());
+    }
+    co_await reject(std::move(response));
+}
+
 void HttpListener::Session::watchForClose(const CancellationPtr &cancellation)
 {
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), cancellation](ErrorCode error) {
@@ -230,6 +256,11 @@
     if (m_listener->m_completeRejection) {
         m_listener->m_completeRejection(response);
     }
+    co_await reject(std::move(response));
+}
+
+Task<void> HttpListener::Session::reject(HttpResponse response)
+{
     response.keep_alive(false);
     response.prepare_payload();
     ErrorCode error;
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -3,6 +3,7 @@
 #include <carobjunction/process/clock.h>
 
 #include "connection/asio.h"
+#include "connection/bodybudget.h"
 #include "request/cancellation.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
     Duration bodyTimeout = std::chrono::seconds(30);
     Duration idleTimeout = std::chrono::seconds(20);
     size_t connections = 2000;
+    std::shared_ptr<BodyBudget> bodies = nullptr; /**< Room for the bodies of requests. Null: without a bound over all of them. */
+    uint64_t bodyCopies = 1; /**< Times that the handler holds a body. */
 };
 
 /** An answer, or empty to close the connection without one. */
@@ -57,6 +60,12 @@
         m_completeRejection = std::move(complete);
     }
 
+    /** @param refuse  gives the answer to a request for whose body there is no room. The handler doesn't get the request */
+    void setRoomRefusal(std::function<HttpResponse(const http::fields &head)> refuse)
+    {
+        m_refuseForRoom = std::move(refuse);
+    }
+
     /** Answers from now on tell clients that their connection is closed after them. */
     void announceClose()
     {
@@ -93,6 +102,7 @@
     Tcp::acceptor m_acceptor;
     ClientRequestHandler m_handler;
     std::function<void(HttpResponse &)> m_completeRejection;
+    std::function<HttpResponse(const http::fields &)> m_refuseForRoom;
     std::function<ListenerLimits()> m_limits;
     std::set<std::shared_ptr<Session>> m_sessions;
     size_t m_activeRequests = 0;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -63,6 +63,10 @@
     static constexpr Duration CloseTime = std::chrono::milliseconds(100);
     /** Time for which the acknowledgement of a leave waits until the store has it, so that it binds the next start of this daemon. */
     static constexpr Duration LeaveStoreTime = std::chrono::milliseconds(400);
+    /** Times that the entry holds a caller's body: for another attempt, and on its way to a target. */
+    static constexpr uint64_t EntryBodyCopies = 2;
+    /** Wait that is predicted to a daemon for whose request there is no room: in it, bodies of usual requests come and go. */
+    static constexpr Duration PeerRoomRetryAfter = std::chrono::milliseconds(500);
     /** Time after a stop for which callers that have not noticed it are served. Later requests might not finish in time. */
     static constexpr Duration StopLinger = std::chrono::milliseconds(2500);
 
@@ -109,6 +113,8 @@
         if (!isOpen) {
             return false;
         }
+        m_callerPort->setRoomRefusal([this](const http::fields &head) { return m_router.refuseForRoom(head); });
+        m_peerPort->setRoomRefusal([](const http::fields &) { return PeerCodec::encode(ForwardResult::notRun(Reason::Full, PeerRoomRetryAfter)); });
         m_sync.start([this] { return m_target.report(); }, [this](const BackendRecord *former) { m_target.recall(former); });
         scheduleTick();
         EventLog::write(LogLevel::Info, Event::DaemonStarted, { { "daemon", m_settings.daemon }, { "peerAddress", m_settings.peerAddress } });
@@ -168,6 +174,8 @@
         constexpr double DescriptorShare = 0.5; // the other half is for peers and the backend server
         constexpr uint32_t MemoryPart = 4; // largest message, as a part of the memory
         ListenerLimits limits;
+        limits.bodies = m_bodies;
+        limits.bodyCopies = isCaller ? EntryBodyCopies : 1;
         limits.connections = static_cast<size_t>(m_settings.maxDescriptors * DescriptorShare);
         limits.bodyBytes = uint64_t { m_settings.memoryMb } * MegaByte / MemoryPart;
         const auto routes = m_sync.routes();
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -20,6 +20,7 @@
 
 constexpr auto ShortestRetryAfter = std::chrono::milliseconds(50);
 constexpr auto LongestRetryAfter = std::chrono::seconds(2);
+constexpr auto RoomRetryAfter = std::chrono::milliseconds(500); // in which bodies of usual requests come and go
 constexpr auto StartupRetryAfter = std::chrono::milliseconds(500); // until the configuration has been read
 constexpr double UsefulShare = 0.8; // of the usual work that must be left for another attempt
 
@@ -407,6 +408,17 @@
     return refuse(call, Reason::Leaving, LongestRetryAfter);
 }
 
+HttpResponse RequestRouter::refuseForRoom(const http::fields &head)
+{
+    Call call;
+    call.request.requestId = fieldText(head, m_headers.requestId);
+    HttpResponse response = refuse(call, Reason::BodyRoom, RoomRetryAfter);
+    if (!call.request.requestId.empty()) {
+        response.set(m_headers.requestId, call.request.requestId);
+    }
+    return response;
+}
+
 /** Final answer when no backend server gave one. */
 HttpResponse RequestRouter::finish(Call &call, Reason reason, Duration retryAfter)
 {
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -57,6 +57,9 @@
     /** @return the answer to a request that came when this daemon is about to end */
     HttpResponse refuseStopped(const HttpRequest &message);
 
+    /** @return the answer to a request for whose body there is no room */
+    HttpResponse refuseForRoom(const http::fields &head);
+
 private:
     struct Call;
 
--- a/tests/platform/endlessanswerstest.cpp
+++ b/tests/platform/endlessanswerstest.cpp
@@ -1,9 +1,8 @@
+#include "platform/peakmemory.h"
 #include "platform/platformdaemonfixture.h"
 
 #include "connection/endlessserver.h"
 
-#include <sstream>
-
 using namespace carobjunction;
 using namespace carobjunction::platform;
 using namespace std::chrono_literals;
@@ -33,19 +32,6 @@
     return { fields + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + std::string(0x10000, 'x') + "\r\n" };
 }
 
-/** @return the largest resident memory that a process had, in MB */
-uint64_t peakMemoryMb(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with("VmHWM:")) {
-            return std::stoull(line.substr(std::string("VmHWM:").size())) / 1024;
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 TEST_CASE_METHOD(PlatformDaemonFixture, "EndlessAnswers.allSlotsAtOnce.theDaemonStaysInItsMemory")
--- /dev/null
+++ b/tests/platform/largebodiestest.cpp
@@ -0,0 +1,52 @@
+#include "platform/peakmemory.h"
+#include "platform/platformdaemonfixture.h"
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE_METHOD(PlatformDaemonFixture, "LargeBodies.manyAtOnce.thoseWithoutRoomAreRefused")
+{
+    // Guards against callers that fill the memory of a daemon by bodies which are each within the limit.
+    constexpr uint32_t SmallestVmMb = 160;
+    constexpr int Bodies = 8;
+    constexpr size_t BodyBytes = 15U << 20U; // the limit of the configuration is 16 MB
+    REQUIRE(servesLookups());
+    vms[0].daemon->kill();
+    vms[0].moreSettings = "memory: " + std::to_string(SmallestVmMb) + "\n";
+    start(vms[0]);
+    REQUIRE(waitFor([&] { return get(vms[0].ready, "/v1/readyz") == 200; }));
+    REQUIRE(servesLookups());
+    const size_t ranBefore = vms[1].backend->ran.size();
+
+    std::vector<std::shared_ptr<std::optional<ExchangeResult>>> orders;
+    for (int i = 0; i < Bodies; ++i) {
+        HttpRequest order = request(http::verb::post, "/order/" + std::to_string(i));
+        order.body() = std::string(BodyBytes, 'x');
+        orders.push_back(begin(vms[0].caller, std::move(order)));
+    }
+    CHECK(waitFor([&] { return std::all_of(orders.begin(), orders.end(), [](const auto &order) { return order->has_value(); }); }, 9s));
+    size_t served = 0;
+    for (const auto &order : orders) {
+        REQUIRE(order->has_value());
+        REQUIRE((*order)->end == ExchangeEnd::Answered);
+        const HttpResponse &response = (*order)->response;
+        if (response.result_int() == 200) {
+            ++served;
+            continue;
+        }
+        CHECK(response.result_int() == 503);
+        CHECK(hasField(response, "Retry-After"));
+        CHECK(hasField(response, "X-Attempt-Id"));
+        CHECK(response.body().find("did not run: body-room") != std::string::npos);
+    }
+    CHECK(served > 0);
+    CHECK(vms[1].backend->ran.size() - ranBefore == served);
+    const uint64_t entryMb = peakMemoryMb(vms[0].daemon->pid());
+    INFO("served " << served << ", peak at the entry " << entryMb << " MB");
+    CHECK(entryMb > 0);
+    CHECK(entryMb < SmallestVmMb);
+    CHECK(call(http::verb::get, "/look/1").result_int() == 200);
+    const HttpResponse figures = send(vms[0].control, HttpRequest(http::verb::get, "/metrics", 11));
+    CHECK(figures.body().find("\ncarobjunction_body_bytes_held 0\n") != std::string::npos);
+}
