Read no more than 16 KB of a backend server's health answer

Cause: the health answer had the limit of all answers, 64 MB, and is asked for up to 50 times a second. What it tells is in its head. Change: BackendProbe::AnswerBytes; a longer answer is taken as none. Measured: BackendProbe.longAnswer before: an answer of 256 KB was read and taken; after: not taken, and one of 1000 bytes is. Conclusion: a faulty health path can take neither memory nor time.

--- a/src/process/backendprobe.cpp
+++ b/src/process/backendprobe.cpp
@@ -24,6 +24,7 @@
     ExchangeOptions options;
     options.deadline = now + AnswerTimeout;
     options.connectTimeout = AnswerTimeout;
+    options.bodyLimit = AnswerBytes;
     HttpRequest question(http::verb::get, path, 11);
     question.set(http::field::host, "health");
     const ExchangeResult exchange = co_await m_backend->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
--- a/src/process/backendprobe.h
+++ b/src/process/backendprobe.h
@@ -18,6 +18,8 @@
 public:
     /** Time within which the answer must come, since requests wait for it. */
     static constexpr Duration AnswerTimeout = std::chrono::milliseconds(40);
+    /** Longest answer that is read. What it tells is in its head. */
+    static constexpr uint64_t AnswerBytes = 16U << 10U;
     /** Time for which a backend server that gave no usable answer is not asked again. */
     static constexpr Duration FailurePause = std::chrono::seconds(1);
 
--- /dev/null
+++ b/tests/process/backendprobetest.cpp
@@ -0,0 +1,37 @@
+#include "process/backendprobe.h"
+
+#include "connection/endlessserver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace carobjunction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** @return the answers that a probe takes from a server whose health answer has this many bytes of body */
+int answersTaken(size_t bodyBytes)
+{
+    asio::io_context loop(1);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    EndlessServer server(loop, [&](const std::string &) { return EndlessAnswer { answer, "" }; });
+    int taken = 0;
+    BackendProbe probe(loop, std::make_shared<HttpClientPool>(loop, server.address(), PoolLimits {}), 10ms, [&](const HttpResponse &) {
+        ++taken;
+        return true;
+    });
+    asio::co_spawn(
+        loop, [&]() -> Task<void> { co_await probe.refresh("/healthz"); }, asio::detached);
+    loop.run_for(200ms);
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("BackendProbe.longAnswer.isNotRead")
+{
+    // Guards against a faulty backend server that sends megabytes of health many times a second.
+    CHECK(answersTaken(1000) == 1);
+    CHECK(answersTaken(256U << 10U) == 0);
+}
