Reject requests whose chunk headers or trailers have no end

Cause: as for answers, Beast bounds neither: what a caller sends there was collected in the connection's read buffer for the body timeout of 30 s. Change: the read buffer of a session holds twice the limit of a head, and 128 KB at least; a message that needs more is answered 400. Measured: EndlessCallers.chunkHeaderOrTrailerWithoutEnd, 300 KB of each: before, no answer and the bytes were kept; after, 400. HttpListener.*, LargeBodies.*, EndlessBytes.*, EndlessAnswers.* and BackendProbe.* pass. Conclusion: bytes of callers are counted as a body or bounded by this buffer.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fcntl.h>
 
@@ -18,6 +19,7 @@
 {
 
 constexpr int Backlog = 1024;
+constexpr size_t LeastUnparsedLimit = 128U << 10U; // bytes that are held before they can be parsed, such as chunk headers and trailers
 constexpr auto AcceptRetry = std::chrono::milliseconds(20); // wait after a failed accept, such as for lack of descriptors
 constexpr auto LingerTime = std::chrono::milliseconds(500); // time for the client to read the answer before the connection is reset
 
@@ -110,6 +112,7 @@
 Task<bool> HttpListener::Session::serveOne()
 {
     const ListenerLimits limits = m_listener->m_limits();
+    m_buffer.max_size(std::max<size_t>(2 * limits.headerBytes, LeastUnparsedLimit));
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
