--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "connection/httplistener.h"
 
+#include "connection/bodyroom.h"
 #include "connection/expirytimer.h"
 #include "connection/socketoptions.h"
 
@@ -19,6 +20,7 @@
 {
 
 constexpr int Backlog = 1024;
+constexpr size_t LeastUnparsedLimit = 128U << 10U; // bytes that are held before they can be parsed, such as chunk headers and trailers
 constexpr auto AcceptRetry = std::chrono::milliseconds(20); // wait after a failed accept, such as for lack of descriptors
 constexpr auto LingerTime = std::chrono::milliseconds(500); // time for the client to read the answer before the connection is reset
 
@@ -69,13 +71,15 @@
 
     Task<bool> serveOne();
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
-    Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
+    Task<bool> readBody(Parser &parser, const ListenerLimits &limits, BodyRoom &room);
     Task<bool> answer(HttpRequest request);
     Task<ErrorCode> write(HttpResponse &response, bool isHead);
     UndeliveredCause causeOf(ErrorCode writeError) const;
     void reportUndelivered(const HttpResponse *response, UndeliveredCause cause);
     Task<void> rejectUnreadable(ErrorCode error);
     Task<void> reject(http::status status);
+    Task<void> reject(HttpResponse response);
+    Task<void> refuseForRoom(Parser &parser, BodyRoom &room);
     Task<void> linger();
     void watchForClose(const CancellationPtr &cancellation);
     void closeAfter(Duration time, UndeliveredCause timer);
@@ -135,18 +139,22 @@
 Task<bool> HttpListener::Session::serveOne()
 {
     const ListenerLimits limits = m_listener->m_limits();
+    m_buffer.max_size(std::max<size_t>(2 * limits.headerBytes, LeastUnparsedLimit));
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
     if (!co_await readHeader(parser, limits)) {
         co_return false;
     }
+    BodyRoom room(limits.bodies, limits.bodyCopies);
     // A request whose connection was closed in the turn of its arrival is not handed on: nobody would get the answer.
-    if (!co_await readBody(parser, limits) || m_closedBy) {
+    if (!co_await readBody(parser, limits, room) || m_closedBy) {
         co_return false;
     }
     ++m_listener->m_activeRequests;
-    const bool isKept = co_await answer(HttpRequest(parser.release()));
+    HttpRequest request(parser.release());
+    request.room = room.complete(request.body().size());
+    const bool isKept = co_await answer(std::move(request));
     --m_listener->m_activeRequests;
     m_isBusy = false;
     co_return isKept;
@@ -176,26 +184,46 @@
     co_return false;
 }
 
-Task<bool> HttpListener::Session::readBody(Parser &parser, const ListenerLimits &limits)
+Task<bool> HttpListener::Session::readBody(Parser &parser, const ListenerLimits &limits, BodyRoom &room)
 {
     if (parser.is_done()) {
         co_return true;
     }
+    if (!room.hasRoom(parser.content_length().value_or(0))) {
+        co_await refuseForRoom(parser, room);
+        co_return false;
+    }
     ErrorCode error;
     if (parser.get()[http::field::expect] == "100-continue") {
         http::response<http::string_body> interim(http::status::continue_, parser.get().version());
         co_await http::async_write(m_socket, interim, into(error));
     }
     closeAfter(limits.bodyTimeout, UndeliveredCause::BodyTimer);
-    co_await http::async_read(m_socket, m_buffer, parser, into(error));
+    error = co_await readBodyInto(m_socket, m_buffer, parser, room);
     m_timer.disarm();
     if (!error) {
         co_return true;
     }
-    co_await rejectUnreadable(error);
+    if (error == noBodyRoom()) {
+        co_await refuseForRoom(parser, room);
+    } else {
+        co_await rejectUnreadable(error);
+    }
     co_return false;
 }
 
+/** Refuses a request before the handler gets it, and gives back what its body has taken. */
+Task<void> HttpListener::Session::refuseForRoom(Parser &parser, BodyRoom &room)
+{
+    std::string().swap(parser.get().body());
+    room.complete(0);
+    HttpResponse response(http::status::service_unavailable, 11);
+    if (m_listener->m_refuseForRoom) {
+        response = m_listener->m_refuseForRoom(parser.get());
+    }
+    co_await reject(std::move(response));
+}
+
 void HttpListener::Session::watchForClose(const CancellationPtr &cancellation)
 {
     m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), cancellation](ErrorCode error) {
@@ -292,6 +320,11 @@
     if (m_listener->m_completeRejection) {
         m_listener->m_completeRejection(response);
     }
+    co_await reject(std::move(response));
+}
+
+Task<void> HttpListener::Session::reject(HttpResponse response)
+{
     response.keep_alive(false);
     response.prepare_payload();
     ErrorCode error;
--- a/src/process/backendprobe.cpp
+++ b/src/process/backendprobe.cpp
@@ -29,6 +29,7 @@
     options.deadline = now + AnswerTimeout;
     options.connectTimeout = AnswerTimeout;
     options.belongs = m_belongs;
+    options.bodyLimit = AnswerBytes;
     HttpRequest question(http::verb::get, path, 11);
     question.set(http::field::host, "health");
     const ExchangeResult exchange = co_await m_connections->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
