Answer a request whose handler throws, and keep the counts right

Cause: an exception ended the coroutine of the session in silence. The caller got no answer, the socket stayed open among the sessions and the request stayed counted, so a stop waited for it.

Change: the session catches in one place. It writes a line at level error with the cause (event 2009, cause no-answer, with detail), answers 502 if the request was handed on, since it may have run, and 503 with the rejection hook if not; nothing more is sent if an answer was begun. The count of requests is a scope guard, and the session always ends. A connection that can't be served no longer ends the accepting of others.

Measured: before, HttpListener.handlerThatThrows failed (no answer, activeRequests 1, connection open) and HttpListener.faultBeforeTheHandler failed (no 503). After, 28 cases of HttpListener.*, SocketOptions.* and EventCatalogue* and 54 cases of PlatformDaemon.*, TargetService*, HttpPort*, HttpClientPool* and RequestRouter* passed.

Conclusion: each request that was handed on gets an answer, or a line that says why not. The 502 carries no request id: the listener does not know it.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/expirytimer.h"
 #include "connection/socketoptions.h"
+#include "process/eventlog.h"
 
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
@@ -24,6 +25,46 @@
 
 } // namespace
 
+namespace
+{
+
+/** How far the request of a session is. */
+enum class Stage {
+    Reading, /**< Nothing was handed on. */
+    HandedOn, /**< The handler has it, so it may have run. */
+    Answering, /**< A part of the answer may be on its way. */
+};
+
+/** Counts a request for its lifetime, also if an exception ends it. */
+class RequestCount
+{
+public:
+    explicit RequestCount(size_t &count) : m_count(count)
+    {
+        ++m_count;
+    }
+    ~RequestCount()
+    {
+        --m_count;
+    }
+    RequestCount(const RequestCount &) = delete;
+    RequestCount &operator=(const RequestCount &) = delete;
+
+private:
+    size_t &m_count;
+};
+
+/** Writes a line for an exception that ended a request or a connection. */
+void logFault(const std::string &detail, bool wasHandedOn)
+{
+    EventLog::write(
+        LogLevel::Error,
+        Event::AnswerUndelivered,
+        { { "request", "" }, { "cause", std::string(nameOf(UndeliveredCause::NoAnswer)) }, { "handedOn", wasHandedOn ? "yes" : "no" }, { "detail", detail } });
+}
+
+} // namespace
+
 /** One connection of a client. Kept alive by its own coroutine. */
 class HttpListener::Session : public std::enable_shared_from_this<HttpListener::Session>
 {
@@ -67,7 +108,10 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    Task<bool> serveGuarded();
     Task<bool> serveOne();
+    Task<void> rejectAfterFault();
+    void end();
     Task<bool> readHeader(Parser &parser, const ListenerLimits &limits);
     Task<bool> readBody(Parser &parser, const ListenerLimits &limits);
     Task<bool> answer(HttpRequest request);
@@ -90,6 +134,7 @@
     std::optional<UndeliveredCause> m_closedBy; /**< What in this process closed the connection. */
     CancellationPtr m_cancellation; /**< Of the request that is being answered. */
     bool m_isBusy = false; /**< From the first byte of a request to the end of its answer. */
+    Stage m_stage = Stage::Reading;
     bool m_isAborted = false; /**< The process ends, not the client's interest. */
 };
 
@@ -126,14 +171,50 @@
 Task<void> HttpListener::Session::run()
 {
     const auto self = shared_from_this();
-    while (co_await serveOne()) { }
+    try {
+        while (co_await serveGuarded()) { }
+    } catch (const std::exception &fault) {
+        logFault(fault.what(), m_stage != Stage::Reading); // the fault of a request could not be answered
+    }
+    end();
+}
+
+void HttpListener::Session::end()
+{
     m_timer.disarm();
     close();
-    m_listener->m_sessions.erase(self);
+    m_listener->m_sessions.erase(shared_from_this());
+}
+
+/** Answers a request whose handling threw an exception, and ends the connection. */
+Task<bool> HttpListener::Session::serveGuarded()
+{
+    std::string fault;
+    try {
+        co_return co_await serveOne();
+    } catch (const std::exception &exception) {
+        fault = exception.what();
+    } catch (...) {
+        fault = "unknown exception";
+    }
+    logFault(fault, m_stage != Stage::Reading);
+    co_await rejectAfterFault();
+    co_return false;
+}
+
+Task<void> HttpListener::Session::rejectAfterFault()
+{
+    ErrorCode ignored; // the connection may be closed already
+    m_socket.cancel(ignored);
+    m_cancellation.reset();
+    if (m_stage != Stage::Answering) {
+        co_await reject(m_stage == Stage::HandedOn ? http::status::bad_gateway : http::status::service_unavailable);
+    }
 }
 
 Task<bool> HttpListener::Session::serveOne()
 {
+    m_stage = Stage::Reading;
     const ListenerLimits limits = m_listener->m_limits();
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
@@ -145,9 +226,8 @@
     if (!co_await readBody(parser, limits) || m_closedBy) {
         co_return false;
     }
-    ++m_listener->m_activeRequests;
+    const RequestCount count(m_listener->m_activeRequests);
     const bool isKept = co_await answer(parser.release());
-    --m_listener->m_activeRequests;
     m_isBusy = false;
     co_return isKept;
 }
@@ -216,6 +296,7 @@
     }
     ErrorCode error;
     const Tcp::endpoint client = m_socket.remote_endpoint(error); // unknown if the client has left already
+    m_stage = Stage::HandedOn;
     MaybeResponse response = co_await m_listener->m_handler(std::move(request), client, cancellation);
     error = {};
     m_socket.cancel(error);
@@ -232,6 +313,7 @@
     if (!isHead) {
         response->prepare_payload();
     }
+    m_stage = Stage::Answering;
     error = co_await write(*response, isHead);
     if (!error && !isKept) {
         co_await linger();
@@ -289,7 +371,7 @@
 Task<void> HttpListener::Session::reject(http::status status)
 {
     HttpResponse response(status, 11);
-    if (m_listener->m_completeRejection) {
+    if (m_listener->m_completeRejection && m_stage == Stage::Reading) { // the hook adds that nothing ran
         m_listener->m_completeRejection(response);
     }
     response.keep_alive(false);
@@ -361,7 +443,7 @@
         ErrorCode error;
         Tcp::socket socket = co_await m_acceptor.async_accept(into(error));
         if (!error) {
-            serve(std::move(socket));
+            serveOrDrop(std::move(socket));
         } else if (m_acceptor.is_open()) {
             pause.expires_after(AcceptRetry);
             co_await pause.async_wait(into(error));
@@ -377,11 +459,21 @@
     for (int i = 0; i < Backlog && !error; ++i) {
         Tcp::socket socket = m_acceptor.accept(error);
         if (!error) {
-            serve(std::move(socket));
+            serveOrDrop(std::move(socket));
         }
     }
 }
 
+/** A connection that can't be served, such as for lack of memory, must not end the accepting of others. */
+void HttpListener::serveOrDrop(Tcp::socket socket)
+{
+    try {
+        serve(std::move(socket));
+    } catch (const std::exception &fault) {
+        logFault(fault.what(), false);
+    }
+}
+
 void HttpListener::serve(Tcp::socket socket)
 {
     if (m_sessions.size() >= m_limits().connections) {
--- a/src/connection/httplistener.h
+++ b/src/connection/httplistener.h
@@ -28,7 +28,10 @@
 /** An answer, or empty to close the connection without one. */
 using MaybeResponse = std::optional<HttpResponse>;
 
-/** Answers one request. The cancellation tells when the client has left. */
+/**
+ * Answers one request. The cancellation tells when the client has left. If it throws, the client is answered 502, since the request may
+ * have run.
+ */
 using RequestHandler = std::function<Task<MaybeResponse>(HttpRequest, CancellationPtr)>;
 
 /** The same, for handlers that treat clients by their address. */
@@ -52,7 +55,7 @@
     static std::shared_ptr<HttpListener>
     open(asio::io_context &loop, const Tcp::endpoint &address, ClientRequestHandler handler, std::function<ListenerLimits()> limits, ErrorCode &error);
 
-    /** @param complete  adds to the listener's own answers to messages that can't be read or are too large */
+    /** @param complete  adds to the listener's own answers to messages that were not handed to the handler */
     void setRejectionHook(std::function<void(HttpResponse &)> complete)
     {
         m_completeRejection = std::move(complete);
@@ -106,6 +109,7 @@
     Task<void> accept();
     void acceptWaiting();
     void serve(Tcp::socket socket);
+    void serveOrDrop(Tcp::socket socket);
 
     asio::io_context &m_loop;
     Tcp::acceptor m_acceptor;
--- a/tests/connection/httplistenerclosetest.cpp
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -242,3 +242,34 @@
     other.close();
     CHECK(isClosedByPeer(accepted));
 }
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.handlerThatThrows.isAnswered502AndClosed")
+{
+    // Guards against a connection that stays open without an answer, and a request that stays counted, so that no stop completes.
+    throwsFault = true;
+    read();
+    write(lookup);
+    runFor(100ms);
+    CHECK(received.starts_with("HTTP/1.1 502"));
+    CHECK(received.find("Not-Run") == std::string::npos);
+    CHECK(listener->activeRequests() == 0);
+    caller.shutdown(Tcp::socket::shutdown_send);
+    runFor(50ms);
+    CHECK(received.ends_with("<end>"));
+    CHECK(listener->openRequests() == 0);
+}
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.faultBeforeTheHandler.isAnswered503AsNotRun")
+{
+    // Guards against an unknown outcome where nothing was handed on.
+    read();
+    write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
+    runFor(50ms);
+    throwsInLimits = true;
+    write("ok" + lookup);
+    runFor(100ms);
+    CHECK(handled == 1);
+    CHECK(received.find("HTTP/1.1 503") != std::string::npos);
+    CHECK(received.find("Not-Run: yes") != std::string::npos);
+    CHECK(listener->activeRequests() == 0);
+}
