Let the result of a peer name the call that it answers

Cause: nothing in a peer's result told which call it answers, and state was taken from any answer. An earlier result written once more on a kept connection was believed, and a caller's answer was read as state. Our own listener writes one answer a request, so this took a faulty daemon.

Change: each forwarded request has the number of its call, which the result repeats; results of other calls are skipped, and fetchState() skips results. The number and not the request's id, since a request may be queued at a daemon that refused it before. Results of older daemons have no number and count as before, so that an update of the daemons loses no answers.

Measured: with the numbers sent but not checked, PeerClients.repeatedResult.isNotThatOfTheNextCall (NotRun in place of Ran) and .isNotReadAsState failed. With the check, PeerClients.*, TargetService.*, HttpClientPool.*, RepeatedRefusals.*, PlatformDaemon.* and RequestRouter.*: 1385 assertions in 73 cases passed.

Conclusion: an entry believes only the result of its own call. State answers still don't name their question.

--- a/src/connection/peerclients.cpp
+++ b/src/connection/peerclients.cpp
@@ -37,7 +37,12 @@
     if (!connections) {
         co_return ForwardResult::notRun(Reason::PeerUnreachable);
     }
+    request.call = ++m_lastCall;
     ExchangeOptions options;
+    // The request's id would not do: the same request may be sent to a daemon again that refused it before.
+    options.belongs = [call = request.call](const HttpResponse &response) {
+        return PeerCodec::callOf(response).value_or(call) == call;
+    };
     options.deadline = request.deadlineAt + AnswerMargin;
     options.connectTimeout = isSameRegion ? NearConnectTimeout : FarConnectTimeout;
     ExchangeResult exchange = co_await connections->exchange(PeerCodec::encode(request, SteadyClock().now()), std::move(options), std::move(cancellation));
@@ -58,6 +63,9 @@
     }
     ExchangeOptions options;
     options.deadline = SteadyClock().now() + StateTimeout;
+    options.belongs = [](const HttpResponse &response) {
+        return !PeerCodec::isResult(response);
+    };
     HttpRequest request(http::verb::get, std::string(nameOf(part)), 11);
     request.set(http::field::host, "peer");
     ExchangeResult exchange = co_await connections->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
--- a/src/connection/peerclients.h
+++ b/src/connection/peerclients.h
@@ -32,6 +32,7 @@
     std::shared_ptr<HttpClientPool> pool(const std::string &address);
 
     asio::io_context &m_loop;
+    uint64_t m_lastCall = 0;
     std::map<std::string, std::shared_ptr<HttpClientPool>> m_pools;
 };
 
--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -39,10 +39,19 @@
 HttpRequest PeerCodec::encode(const ForwardRequest &request, TimePoint now)
 {
     HttpRequest message = request.message;
-    const Json field { { "id", request.requestId },      { "from", request.callerService },    { "service", request.service },
-                       { "route", request.route },       { "backend", request.backend },       { "config", request.configVersion },
-                       { "print", request.fingerprint }, { "idempotent", request.idempotent }, { "queue", request.mayQueue },
-                       { "priority", request.priority }, { "aim", toMs(request.aimAt - now) }, { "left", toMs(request.deadlineAt - now) },
+    const Json field { { "id", request.requestId },
+                       { "call", request.call },
+                       { "from", request.callerService },
+                       { "service", request.service },
+                       { "route", request.route },
+                       { "backend", request.backend },
+                       { "config", request.configVersion },
+                       { "print", request.fingerprint },
+                       { "idempotent", request.idempotent },
+                       { "queue", request.mayQueue },
+                       { "priority", request.priority },
+                       { "aim", toMs(request.aimAt - now) },
+                       { "left", toMs(request.deadlineAt - now) },
                        { "work", toMs(request.work) } };
     message.set(RequestField, field.dump(-1, ' ', true, Json::error_handler_t::replace));
     message.keep_alive(true);
@@ -56,6 +65,7 @@
     try {
         const Json field = Json::parse(fieldText(message, RequestField));
         request.requestId = field.at("id").get<std::string>();
+        request.call = field.value("call", uint64_t(0));
         request.callerService = field.at("from").get<std::string>();
         request.service = field.at("service").get<std::string>();
         request.route = field.at("route").get<std::string>();
@@ -79,7 +89,8 @@
 
 HttpResponse PeerCodec::encode(ForwardResult result)
 {
-    Json field { { "outcome", nameOf(result.outcome) },
+    Json field { { "call", result.call },
+                 { "outcome", nameOf(result.outcome) },
                  { "reason", nameOf(result.reason) },
                  { "reached", result.reachedBackend },
                  { "typical", result.isTypical },
@@ -99,6 +110,20 @@
     return message;
 }
 
+std::optional<uint64_t> PeerCodec::callOf(const HttpResponse &message)
+{
+    const Json field = Json::parse(fieldText(message, ResultField), nullptr, false);
+    if (!field.is_object() || !field.contains("call") || !field["call"].is_number_unsigned() || field["call"] == 0) {
+        return std::nullopt;
+    }
+    return field["call"].get<uint64_t>();
+}
+
+bool PeerCodec::isResult(const HttpResponse &message)
+{
+    return hasField(message, ResultField);
+}
+
 std::optional<ForwardResult> PeerCodec::decode(HttpResponse message)
 {
     ForwardResult result;
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -190,7 +190,9 @@
             EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "request", id }, { "reason", "unreadable forwarded request" } });
             co_return ownAnswer(http::status::bad_request, "the forwarded request can't be read");
         }
+        const uint64_t call = request->call;
         ForwardResult result = co_await m_target.run(std::move(*request), cancellation);
+        result.call = call;
         result.report = m_target.report();
         co_return PeerCodec::encode(std::move(result));
     }
--- a/src/request/forwarding.h
+++ b/src/request/forwarding.h
@@ -17,6 +17,7 @@
 struct ForwardRequest {
     HttpRequest message; /**< As the caller sent it, less the fields that concern one connection only. */
     std::string requestId;
+    uint64_t call = 0; /**< Number of the call to the other daemon, which the answer repeats; 0 if an older daemon gives none. */
     std::string callerService; /**< Service of the VM on which the request began. */
     std::string service; /**< Service that is to run it. */
     std::string route; /**< Name of the route, by which work is estimated. */
@@ -33,6 +34,7 @@
 
 /** What became of a request at a target. */
 struct ForwardResult {
+    uint64_t call = 0; /**< Number of the call that it answers. */
     Outcome outcome = Outcome::NotRun;
     Reason reason = Reason::None;
     bool reachedBackend = false; /**< Whether it was sent to the backend server, which may have rejected it. */
