Take the idle connection by move

Cause: check-lint reported performance-no-automatic-move in HttpClientPool::takeIdle().

Change: the local pointer is no longer const.

Measured: HttpClientPool.*, TargetService.* and PeerClients.*: 685 assertions in 35 cases passed.

Conclusion: no change of behaviour.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -60,7 +60,7 @@
 {
     for (auto next = m_idle.end(); next != m_idle.begin();) {
         --next;
-        const ConnectionPtr connection = *next;
+        ConnectionPtr connection = *next;
         if (SteadyClock().now() >= connection->idleUntil || !isIdleAndOpen(connection->socket)) {
             next = m_idle.erase(next);
             connection->close();
