--- a/src/connection/peercodec.cpp
+++ b/src/connection/peercodec.cpp
@@ -55,6 +55,7 @@
     constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
     ForwardRequest request;
     request.requestId = readText(field.at("id"));
+    request.call = field.contains("call") ? boundedjson::whole(field["call"], std::numeric_limits<uint64_t>::max()) : 0;
     request.callerService = readText(field.at("from"));
     request.service = readText(field.at("service"));
     request.route = readText(field.at("route"));
@@ -95,10 +96,19 @@
 HttpRequest PeerCodec::encode(ForwardRequest request, TimePoint now)
 {
     HttpRequest message = std::move(request.message);
-    const Json field { { "id", request.requestId },      { "from", request.callerService },    { "service", request.service },
-                       { "route", request.route },       { "backend", request.backend },       { "config", request.configVersion },
-                       { "print", request.fingerprint }, { "idempotent", request.idempotent }, { "queue", request.mayQueue },
-                       { "priority", request.priority }, { "aim", toMs(request.aimAt - now) }, { "left", toMs(request.deadlineAt - now) },
+    const Json field { { "id", request.requestId },
+                       { "call", request.call },
+                       { "from", request.callerService },
+                       { "service", request.service },
+                       { "route", request.route },
+                       { "backend", request.backend },
+                       { "config", request.configVersion },
+                       { "print", request.fingerprint },
+                       { "idempotent", request.idempotent },
+                       { "queue", request.mayQueue },
+                       { "priority", request.priority },
+                       { "aim", toMs(request.aimAt - now) },
+                       { "left", toMs(request.deadlineAt - now) },
                        { "work", toMs(request.work) } };
     message.set(RequestField, field.dump(-1, ' ', true, Json::error_handler_t::replace));
     message.keep_alive(true);
@@ -121,7 +131,8 @@
 
 HttpResponse PeerCodec::encode(ForwardResult result)
 {
-    Json field { { "outcome", nameOf(result.outcome) },
+    Json field { { "call", result.call },
+                 { "outcome", nameOf(result.outcome) },
                  { "reason", nameOf(result.reason) },
                  { "reached", result.reachedBackend },
                  { "typical", result.isTypical },
@@ -141,6 +152,20 @@
     return message;
 }
 
+std::optional<uint64_t> PeerCodec::callOf(const HttpResponse &message)
+{
+    const auto call = boundedjson::decode([&message] {
+        const Json field = boundedjson::parse(fieldText(message, ResultField), FieldBounds);
+        return field.contains("call") ? boundedjson::whole(field["call"], std::numeric_limits<uint64_t>::max()) : 0;
+    });
+    return call.value_or(0) == 0 ? std::nullopt : call;
+}
+
+bool PeerCodec::isResult(const HttpResponse &message)
+{
+    return hasField(message, ResultField);
+}
+
 std::optional<ForwardResult> PeerCodec::decode(HttpResponse message)
 {
     // The entry counts an attempt whose result can't be read as unknown, and logs it.
--- a/tests/process/backendprobetest.cpp
+++ b/tests/process/backendprobetest.cpp
@@ -17,7 +17,10 @@
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
     EndlessServer server(loop, [&](const std::string &) { return EndlessAnswer { answer, "" }; });
     int taken = 0;
-    BackendProbe probe(loop, std::make_shared<HttpClientPool>(loop, server.address(), PoolLimits {}), 10ms, [&](const HttpResponse &) {
+    const auto ofAnyQuestion = [](const HttpResponse &) {
+        return true;
+    };
+    BackendProbe probe(loop, server.address(), 10ms, ofAnyQuestion, [&](const HttpResponse &) {
         ++taken;
         return true;
     });
