--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -18,7 +18,7 @@
 
 constexpr size_t LongBody = 16U << 10U; // longer bodies are sent while the answer is read, since it may come first
 constexpr uint32_t HeaderLimit = 64U << 10U;
-constexpr size_t UnparsedLimit = 2 * HeaderLimit; // bytes that are held before they can be parsed, such as chunk headers and trailers
+constexpr size_t UnparsedLimit = size_t { 2 } * HeaderLimit; // bytes that are held before they can be parsed, such as chunk headers and trailers
 constexpr int MaxInterimAnswers = 8; // 1xx answers that are skipped before one answer
 constexpr int MaxForeignAnswers = 4; // answers of other requests that are skipped on one connection
 constexpr double KeepAliveShare = 0.7; // part of the server's idle timeout after which a connection is closed
