Mark the library's names in the depth check for the linter

Cause: the JSON library names the functions of its event handlers, against this project's naming rule. Change: the linter passes over the names of these functions. Conclusion: no change of behaviour.

--- a/src/connection/boundedjson.cpp
+++ b/src/connection/boundedjson.cpp
@@ -21,7 +21,7 @@
         return m_isTooDeep;
     }
 
-    // The names of the following functions are the library's.
+    // NOLINTBEGIN(readability-identifier-naming): the names of the following functions are the library's.
     bool null()
     {
         return true;
@@ -74,6 +74,7 @@
     {
         return false; // the second pass reports it
     }
+    // NOLINTEND(readability-identifier-naming)
 
 private:
     bool enter()
