--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -71,7 +71,7 @@
     static constexpr Duration CrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
     /** Time in milliseconds by which the clock of this VM may have gone back since a backend server of a former start was born. */
-    static constexpr uint64_t LargestBirthLead = 24 * 3'600'000;
+    static constexpr uint64_t LargestBirthLead = uint64_t { 24 } * 3'600'000;
     /** State of a peer that is read: routes and records of far more VMs than the design's largest size has. */
     static constexpr JsonBounds StateBounds { size_t { 64 } << 20U, 4 };
 
