Take the id of a forwarded request from its header

The hop between daemons carries the request's id in a JSON field, in which bytes that are no UTF-8 are replaced. The backend server echoes the header as it came, so the owner took the true answer for that of another request, and the caller got 504.

Change: the owner takes the id from the header.

Measured: PlatformDaemon.idThatIsNoUtf8.isAnsweredByAnotherVm failed before (504 in place of 200) and passes.

Open: ids of many kilobytes still don't fit into the field.

--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -232,6 +232,7 @@
             EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "request", id }, { "reason", "unreadable forwarded request" } });
             co_return ownAnswer(http::status::bad_request, "the forwarded request can't be read");
         }
+        request->requestId = id; // as the backend server echoes it; the peer's field holds it as JSON text
         const uint64_t call = request->call;
         ForwardResult result = co_await m_target.run(std::move(*request), cancellation);
         result.call = call;
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -28,6 +28,15 @@
     CHECK(figures.body().find("carobjunction_call_latency_seconds_count") != std::string::npos);
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.idThatIsNoUtf8.isAnsweredByAnotherVm")
+{
+    // Guards against an answer that the owner takes for that of another request, since the hop between daemons changed the id.
+    REQUIRE(servesLookups());
+    HttpRequest message = request(http::verb::get, "/look/1");
+    message.set("X-Attempt-Id", "id-\xff\xfe");
+    CHECK(send(vms[0].caller, message).result_int() == 200);
+}
+
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.acknowledgedDraining.getsNoMoreWork")
 {
     // Guards against work for a leaving server, also when a delayed heartbeat still calls it ready.
