Give the room of a request's body back with the request

BodyRoom kept a share of the reservation that it handed to the message, and the listener's session kept the BodyRoom until the answer was written. A caller who read its answer slowly held the room of its upload, and others were refused for lack of it.

Change: complete() hands the reservation over.

Measured: BodyRoom.completeBody.givesItsRoomBackWithTheMessage failed before (100 bytes held in place of 0) and passes.

--- a/src/connection/bodyroom.h
+++ b/src/connection/bodyroom.h
@@ -50,13 +50,13 @@
         return fits;
     }
 
-    /** @return the room of a complete body, for HttpMessage::room */
+    /** Ends the reading. @return the room of the complete body, for HttpMessage::room, which gives it back */
     std::shared_ptr<void> complete(uint64_t bytes)
     {
         if (m_reservation) {
             m_reservation->resize(bytes * m_copies);
         }
-        return bytes == 0 ? nullptr : m_reservation;
+        return bytes == 0 ? nullptr : std::move(m_reservation);
     }
 
 private:
--- a/tests/connection/bodybudgettest.cpp
+++ b/tests/connection/bodybudgettest.cpp
@@ -1,4 +1,5 @@
 #include "connection/bodybudget.h"
+#include "connection/bodyroom.h"
 
 #include <catch2/catch.hpp>
 
@@ -57,3 +58,15 @@
     CHECK(budget->held() < 1000);
     CHECK(budget->reserve(10));
 }
+
+TEST_CASE("BodyRoom.completeBody.givesItsRoomBackWithTheMessage")
+{
+    // Guards against room that the reader of a body keeps until its answer is written, so that others are refused without need.
+    const auto budget = std::make_shared<BodyBudget>(1000);
+    BodyRoom room(budget, 1);
+    REQUIRE(room.grow(100, true));
+    std::shared_ptr<void> held = room.complete(100);
+    CHECK(budget->held() == 100);
+    held.reset();
+    CHECK(budget->held() == 0);
+}
