Bound the slowness that a backend server tells of its VM

A load of 2^31 percent or more overflowed in the report to the peers, which refuse numbers out of range, and with the report they refused the result that carried it: true answers became 502 for as long as the reading was fresh.

Change: readLoad() takes 100,000 percent at most.

Measured: TargetService.oddSlowness.isBounded failed before (42949672.95) and passes.

--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -409,12 +409,13 @@
 {
     constexpr size_t SlownessIndex = 3;
     constexpr double Percent = 100;
+    constexpr uint32_t LargestPercent = 100'000; // no work is a thousand times as slow; keeps odd values out of the reports to peers
     const std::vector<uint32_t> numbers = readNumbers(fieldText(response, m_headers.load));
     if (numbers.size() <= SlownessIndex) {
         return false;
     }
     const TimePoint now = SteadyClock().now();
-    m_host.observe(numbers[SlownessIndex] / Percent, m_gate.isCold(now), now);
+    m_host.observe(std::min(numbers[SlownessIndex], LargestPercent) / Percent, m_gate.isCold(now), now);
     return true;
 }
 
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -112,7 +112,7 @@
     {
         HttpResponse response(http::status::ok, 11);
         if (tellsSlowness) {
-            response.set("Load", isSlow ? "0,0,9,500" : "0,0,9,100");
+            response.set("Load", !oddLoad.empty() ? oddLoad : isSlow ? "0,0,9,500" : "0,0,9,100");
         }
         if (message.target() == "/health") {
             ++questions;
@@ -145,8 +145,18 @@
     bool tellsSlowness = true;
     int questions = 0;
     int startedSlow = 0;
+    std::string oddLoad; /**< Told instead, if not empty. */
 };
 
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.oddSlowness.isBounded")
+{
+    // Guards against a load report that the peers can't read, and with it the results that carry it.
+    oddLoad = "0,0,9,4294967295";
+    begin(request());
+    runFor(100ms);
+    CHECK(target->report().slowness <= 1000);
+}
+
 TEST_CASE_METHOD(SlowVmFixture, "TargetService.slowVm.refusesWhatCanGoElsewhere")
 {
     // Guards against work that starts in a slow spell: it takes several times as long, to its end.
