Give a target's slot back also after an exception

An exception between the grant of a slot and its release, such as that of a request which can't be written, took the slot for good and left the request among those in flight, which a later crash of the backend server would condemn.

Change: ScopeGuard, which gives back the slot and ends the entry of the request.

Measured: TargetService.requestThatCantBeEncoded.givesItsSlotBack failed before (1 running in place of 0) and passes.

--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -5,6 +5,7 @@
 #include "connection/connectiontimer.h"
 #include "connection/detachedtask.h"
 #include "connection/messagefields.h"
+#include "process/scopeguard.h"
 #include "process/suspension.h"
 #include "process/wallclock.h"
 
@@ -277,6 +278,11 @@
     if (auto refused = co_await waitForSlot(request, cancellation)) {
         co_return std::move(*refused);
     }
+    const ScopeGuard slot([this] {
+        const TimePoint now = SteadyClock().now();
+        applyHost(now);
+        m_slots.release(now);
+    });
     ForwardResult result;
     const auto reason = reasonToRefuse(request);
     if (cancellation->isRequested()) {
@@ -288,9 +294,6 @@
     } else {
         result = co_await dispatch(request, cancellation);
     }
-    const TimePoint now = SteadyClock().now();
-    applyHost(now);
-    m_slots.release(now);
     co_return result;
 }
 
@@ -309,6 +312,7 @@
 {
     const uint64_t run = ++m_lastRun;
     m_inFlight.emplace(run, request.fingerprint);
+    const ScopeGuard inFlight([this, run] { m_inFlight.erase(run); });
     const TimePoint start = SteadyClock().now();
     const bool isHostSlow = m_host.isSlow(start);
     const SlotTuner::Mark mark = m_tuner.onStart(m_slots.use().running, start);
@@ -343,7 +347,6 @@
     if (end == ExchangeEnd::Lost || end == ExchangeEnd::NotSent) {
         co_await checkForCrash();
     }
-    m_inFlight.erase(run);
     co_return result;
 }
 
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -157,6 +157,21 @@
     CHECK(target->report().slowness <= 1000);
 }
 
+TEST_CASE_METHOD(SlowVmFixture, "TargetService.requestThatCantBeEncoded.givesItsSlotBack")
+{
+    // Guards against slots that an exception takes for good. Boost.Beast refuses to write a TRACE request with a body.
+    ForwardRequest wanted = request();
+    wanted.message.method(http::verb::trace);
+    wanted.message.body() = "body";
+    begin(wanted);
+    runFor(100ms);
+    CHECK(target->report().running == 0);
+    const auto result = begin(request());
+    runFor(100ms);
+    REQUIRE(result->has_value());
+    CHECK((*result)->outcome == Outcome::Ran);
+}
+
 TEST_CASE_METHOD(SlowVmFixture, "TargetService.slowVm.refusesWhatCanGoElsewhere")
 {
     // Guards against work that starts in a slow spell: it takes several times as long, to its end.
