End a health question also after an exception

A question that ended by an exception stayed pending, and each later request to the target waited for it without limit.

Change: a ScopeGuard ends the question.

Measured: BackendProbe.readerThatThrows.holdsUpNoLaterQuestion failed before and passes.

--- a/src/process/backendprobe.cpp
+++ b/src/process/backendprobe.cpp
@@ -1,5 +1,7 @@
 #include "process/backendprobe.h"
 
+#include "process/scopeguard.h"
+
 namespace carobjunction
 {
 
@@ -25,19 +27,21 @@
     }
     m_notBefore = now + m_interval;
     m_pending = std::make_shared<asio::steady_timer>(m_loop, TimePoint::max());
+    const ScopeGuard question([this] {
+        m_pending->cancel();
+        m_pending.reset();
+    });
     ExchangeOptions options;
     options.deadline = now + AnswerTimeout;
     options.connectTimeout = AnswerTimeout;
     options.belongs = m_belongs;
     options.bodyLimit = AnswerBytes;
-    HttpRequest question(http::verb::get, path, 11);
-    question.set(http::field::host, "health");
-    const ExchangeResult exchange = co_await m_connections->exchange(std::move(question), std::move(options), std::make_shared<Cancellation>());
+    HttpRequest message(http::verb::get, path, 11);
+    message.set(http::field::host, "health");
+    const ExchangeResult exchange = co_await m_connections->exchange(std::move(message), std::move(options), std::make_shared<Cancellation>());
     if (exchange.end != ExchangeEnd::Answered || !m_reader(exchange.response)) {
         m_notBefore = now + FailurePause;
     }
-    m_pending->cancel();
-    m_pending.reset();
 }
 
 } // namespace carobjunction
--- a/tests/process/backendprobetest.cpp
+++ b/tests/process/backendprobetest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace carobjunction;
 using namespace std::chrono_literals;
 
@@ -38,3 +40,28 @@
     CHECK(answersTaken(1000) == 1);
     CHECK(answersTaken(256U << 10U) == 0);
 }
+
+TEST_CASE("BackendProbe.readerThatThrows.holdsUpNoLaterQuestion")
+{
+    // Guards against requests that wait without limit for a question that ended by an exception.
+    asio::io_context loop(1);
+    EndlessServer server(loop, [&](const std::string &) { return EndlessAnswer { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "" }; });
+    const auto ofAnyQuestion = [](const HttpResponse &) {
+        return true;
+    };
+    BackendProbe probe(loop, server.address(), 10ms, ofAnyQuestion, [](const HttpResponse &) -> bool { throw std::length_error("fault"); });
+    asio::co_spawn(
+        loop, [&]() -> Task<void> { co_await probe.refresh("/healthz"); }, asio::detached);
+    loop.run_for(100ms);
+    bool hasReturned = false;
+    asio::co_spawn(
+        loop,
+        [&]() -> Task<void> {
+            co_await probe.refresh("/healthz");
+            hasReturned = true;
+        },
+        asio::detached);
+    loop.restart();
+    loop.run_for(100ms);
+    CHECK(hasReturned);
+}
