--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -25,11 +25,6 @@
 constexpr auto AcceptRetry = std::chrono::milliseconds(20); // wait after a failed accept, such as for lack of descriptors
 constexpr auto LingerTime = std::chrono::milliseconds(500); // time for the client to read the answer before the connection is reset
 
-} // namespace
-
-namespace
-{
-
 /** How far the request of a session is. */
 enum class Stage {
     Reading, /**< Nothing was handed on. */
@@ -59,10 +54,7 @@
 /** Writes a line for an exception that ended a request or a connection. */
 void logFault(const std::string &detail, bool wasHandedOn)
 {
-    EventLog::write(
-        LogLevel::Error,
-        Event::AnswerUndelivered,
-        { { "request", "" }, { "cause", std::string(nameOf(UndeliveredCause::NoAnswer)) }, { "handedOn", wasHandedOn ? "yes" : "no" }, { "detail", detail } });
+    EventLog::write(LogLevel::Error, Event::TaskFailed, { { "task", "connection" }, { "handedOn", wasHandedOn ? "yes" : "no" }, { "reason", detail } });
 }
 
 } // namespace
