Let the reader of the probe's test throw once only

Cause: the test of the last fault's reader threw at the second question as well, so it failed also with the fix.

Change: it throws at the first question.

--- a/tests/process/backendprobetest.cpp
+++ b/tests/process/backendprobetest.cpp
@@ -49,7 +49,13 @@
     const auto ofAnyQuestion = [](const HttpResponse &) {
         return true;
     };
-    BackendProbe probe(loop, server.address(), 10ms, ofAnyQuestion, [](const HttpResponse &) -> bool { throw std::length_error("fault"); });
+    int questions = 0;
+    BackendProbe probe(loop, server.address(), 10ms, ofAnyQuestion, [&](const HttpResponse &) {
+        if (++questions == 1) {
+            throw std::length_error("fault");
+        }
+        return true;
+    });
     asio::co_spawn(
         loop, [&]() -> Task<void> { co_await probe.refresh("/healthz"); }, asio::detached);
     loop.run_for(100ms);
