Use the verified connection pool for the backend servers of carobjunctiond

Cause: BackendClient took whatever its HTTP library read next on a reused connection for the answer of the request in progress, and took a chunked body that was cut between the two bytes of a chunk's line end for complete. Change: BackendClient runs its exchanges on HttpClientPool, which requires the request's id and complete framing; a connection whose response has no id is not kept. The Keep-Alive timeout no longer overflows above 4.29 million seconds.

--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -1,12 +1,13 @@
 #include "connection/backendclient.h"
 
+#include "connection/endpoints.h"
 #include "connection/httpheaders.h"
+#include "connection/messagefields.h"
 #include "connection/socketaddress.h"
 
-#include <httplib.h>
+#include <boost/asio/use_future.hpp>
 
 #include <algorithm>
-#include <thread>
 
 namespace carobjunction
 {
@@ -16,161 +17,193 @@
 
 constexpr std::chrono::milliseconds ConnectTimeout(200);
 constexpr std::chrono::milliseconds CancelTimeout(200);
-constexpr std::chrono::milliseconds MaxTimeoutRounding(3);
+constexpr std::chrono::milliseconds HealthTimeout(200);
 constexpr size_t MaxIdleConnections = 64;
 // A process that exits closes its connections a few milliseconds before its listening socket, so a refused connection may follow a closed one.
 constexpr int MaxConnectAttempts = 3;
 constexpr std::chrono::milliseconds ConnectRetryDelay(10);
 
-httplib::Request makeHttpRequest(const CallRequest &request, Duration remaining)
+HttpRequest makeHttpRequest(const CallRequest &request, const std::string &host, Duration remaining)
 {
-    httplib::Request http;
-    http.method = request.method;
-    http.path = request.path;
+    HttpRequest message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.path);
+    message.set(http::field::host, host);
     for (const auto &[name, value] : request.headers) {
         if (!isHopByHopHeader(name)) {
-            http.headers.emplace(name, value);
+            message.insert(name, value);
         }
     }
     const auto remainingMs = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-    http.set_header(headernames::DeadlineMs, std::to_string(std::max<int64_t>(remainingMs, 1)));
-    http.set_header(headernames::RequestId, request.requestId);
-    http.set_header(headernames::Hops, std::to_string(request.hops + 1));
-    http.set_header(headernames::RetriesLeft, std::to_string(request.retriesLeft));
-    http.set_header(headernames::Caller, request.caller);
-    http.body = request.body;
-    return http;
+    message.set(headernames::DeadlineMs, std::to_string(std::max<int64_t>(remainingMs, 1)));
+    message.set(headernames::RequestId, request.requestId);
+    message.set(headernames::Hops, std::to_string(request.hops + 1));
+    message.set(headernames::RetriesLeft, std::to_string(request.retriesLeft));
+    message.set(headernames::Caller, request.caller);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
 }
 
-CallResult notSentResult(Reason reason)
+bool isRefusal(const HttpResponse &response)
+{
+    return fieldValue(response, headernames::OutcomeField) == nameOf(Outcome::NotRun);
+}
+
+ExchangeOptions makeOptions(const CallRequest &request, uint64_t maxBodyBytes)
+{
+    ExchangeOptions options;
+    options.deadline = request.deadline.timePoint();
+    options.connectTimeout = ConnectTimeout;
+    options.maxBodyBytes = maxBodyBytes;
+    options.requestId = request.requestId;
+    options.matchesRequest = [id = request.requestId](const HttpResponse &response) {
+        return !hasField(response, headernames::RequestId) || fieldValue(response, headernames::RequestId) == id;
+    };
+    options.identifiesRequest = [](const HttpResponse &response) {
+        return hasField(response, headernames::RequestId);
+    };
+    options.keepsUnidentified = false;
+    options.isRefusal = &isRefusal;
+    return options;
+}
+
+CallResult resultWithoutResponse(Outcome outcome, Reason reason)
 {
     CallResult result;
-    result.outcome = Outcome::NotRun;
+    result.outcome = outcome;
     result.reason = reason;
     return result;
 }
 
-CallResult toCallResult(httplib::Response &response)
+CallResult toCallResult(HttpResponse &response)
 {
     CallResult result;
     result.outcome = Outcome::Ran;
-    result.status = response.status;
-    if (response.get_header_value(headernames::OutcomeField) == nameOf(Outcome::NotRun)) {
+    result.status = static_cast<int>(response.result_int());
+    if (isRefusal(response)) {
         result.outcome = Outcome::NotRun;
         result.reason = Reason::Shed;
     }
-    for (const auto &[name, value] : response.headers) {
+    for (const auto &field : response) {
+        const std::string name(field.name_string().data(), field.name_string().size());
         if (!isHopByHopHeader(name)) {
-            result.headers.emplace_back(name, value);
+            result.headers.emplace_back(name, std::string(field.value().data(), field.value().size()));
         }
     }
-    result.body = std::move(response.body);
+    result.body = std::move(response.body());
     return result;
 }
 
+CallResult toCallResult(ExchangeResult exchange)
+{
+    switch (exchange.end) {
+    case ExchangeEnd::Answered:
+        return toCallResult(exchange.response);
+    case ExchangeEnd::NotSent:
+        return resultWithoutResponse(Outcome::NotRun, Reason::TargetDown);
+    case ExchangeEnd::TooLarge:
+        return resultWithoutResponse(Outcome::Ran, Reason::AnswerTooLarge);
+    case ExchangeEnd::TimedOut:
+        return resultWithoutResponse(Outcome::Unknown, Reason::DeadlineExceeded);
+    case ExchangeEnd::ResponseLost:
+    case ExchangeEnd::Unverified:
+    case ExchangeEnd::Cancelled:
+        break;
+    }
+    return resultWithoutResponse(Outcome::Unknown, Reason::AnswerLost);
+}
+
 } // namespace
 
-BackendClient::BackendClient(uint64_t maxBodyBytes) : m_maxBodyBytes(maxBodyBytes)
+BackendClient::BackendClient(uint64_t maxBodyBytes) : m_maxBodyBytes(maxBodyBytes), m_workGuard(m_loop.get_executor()), m_thread([this] { m_loop.run(); })
 {
 }
 
-BackendClient::~BackendClient() = default;
+BackendClient::~BackendClient()
+{
+    m_loop.stop();
+    m_thread.join();
+}
 
 void BackendClient::setAddress(const SocketAddress &address)
 {
+    const auto server = parseEndpoint(address.toString());
     const std::scoped_lock lock(m_mutex);
-    if (m_host == address.host && m_port == address.port) {
+    if (!server || (m_pool && m_pool->server() == *server)) {
         return;
     }
-    m_host = address.host;
-    m_port = address.port;
-    ++m_addressGeneration;
-    m_idleConnections.clear();
+    if (m_pool) {
+        asio::post(m_loop, [pool = m_pool] { pool->closeIdle(); });
+    }
+    PoolLimits limits;
+    limits.maxIdleConnections = MaxIdleConnections;
+    m_pool = std::make_shared<HttpClientPool>(m_loop, *server, limits);
+}
+
+BackendClient::PoolPtr BackendClient::currentPool()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_pool;
+}
+
+/** Runs an exchange on the event loop and blocks until it has ended. */
+ExchangeResult BackendClient::exchange(const PoolPtr &pool, HttpRequest request, ExchangeOptions options)
+{
+    Task<ExchangeResult> task = pool->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
+    return asio::co_spawn(m_loop, std::move(task), asio::use_future).get();
 }
 
 CallResult BackendClient::call(const CallRequest &request)
 {
-    const Duration remaining = request.deadline.remaining(SteadyClock().now());
-    uint64_t generation = 0;
-    std::unique_ptr<httplib::Client> client = acquireConnection(generation);
-    if (!client) {
-        return notSentResult(Reason::TargetDown);
+    const PoolPtr pool = currentPool();
+    if (!pool) {
+        return resultWithoutResponse(Outcome::NotRun, Reason::TargetDown);
     }
+    const Duration remaining = request.deadline.remaining(SteadyClock().now());
     if (remaining == Duration::zero()) {
-        releaseConnection(std::move(client), generation);
-        return notSentResult(Reason::DeadlineExceeded);
-    }
-    client->set_read_timeout(remaining);
-    client->set_write_timeout(remaining);
-    httplib::Request http = makeHttpRequest(request, remaining);
-    httplib::Response response;
-    bool isTooLarge = false;
-    http.content_receiver = [&](const char *data, size_t length, uint64_t, uint64_t) {
-        isTooLarge = response.body.size() + length > m_maxBodyBytes;
-        if (isTooLarge || request.deadline.hasPassed(SteadyClock().now())) {
-            return false;
-        }
-        response.body.append(data, length);
-        return true;
-    };
-    httplib::Error error = httplib::Error::Success;
-    if (client->send(http, response, error)) {
-        releaseConnection(std::move(client), generation);
-        return toCallResult(response);
-    }
-    // Only these errors guarantee that no byte of the request was sent.
-    if (error == httplib::Error::Connection || error == httplib::Error::BindIPAddress) {
-        return notSentResult(Reason::TargetDown);
-    }
-    CallResult result;
-    result.outcome = Outcome::Unknown;
-    // The HTTP library rounds timeouts, so a read may time out up to 3 ms before the deadline.
-    const bool isDeadlineReached = request.deadline.remaining(SteadyClock().now()) < MaxTimeoutRounding;
-    result.reason = isDeadlineReached ? Reason::DeadlineExceeded : Reason::AnswerLost;
-    if (isTooLarge) {
-        result.outcome = Outcome::Ran;
-        result.reason = Reason::AnswerTooLarge;
+        return resultWithoutResponse(Outcome::NotRun, Reason::DeadlineExceeded);
     }
-    return result;
+    return toCallResult(exchange(pool, makeHttpRequest(request, toText(pool->server()), remaining), makeOptions(request, m_maxBodyBytes)));
+}
+
+/** Sends a request that callers don't see, on a connection of its own. */
+ExchangeResult BackendClient::sendControlRequest(const PoolPtr &pool, http::verb method, const std::string &path, Duration timeout)
+{
+    HttpRequest message(method, path, 11);
+    message.set(http::field::host, toText(pool->server()));
+    message.keep_alive(false);
+    ExchangeOptions options;
+    options.deadline = SteadyClock().now() + timeout;
+    options.connectTimeout = ConnectTimeout;
+    options.maxBodyBytes = m_maxBodyBytes;
+    options.requiresNewConnection = true;
+    options.keepsUnidentified = false;
+    return exchange(pool, std::move(message), std::move(options));
 }
 
 void BackendClient::cancel(const std::string &requestId)
 {
-    uint64_t generation = 0;
-    std::unique_ptr<httplib::Client> client = acquireConnection(generation);
-    if (!client) {
-        return;
-    }
-    client->set_read_timeout(CancelTimeout);
-    if (client->Delete("/_carob/requests/" + requestId)) {
-        releaseConnection(std::move(client), generation);
+    if (const PoolPtr pool = currentPool()) {
+        sendControlRequest(pool, http::verb::delete_, "/_carob/requests/" + requestId, CancelTimeout);
     }
 }
 
 bool BackendClient::acceptsConnections()
 {
-    std::string host;
-    int port = 0;
-    {
-        const std::scoped_lock lock(m_mutex);
-        host = m_host;
-        port = m_port;
-    }
-    if (port == 0) {
+    const PoolPtr pool = currentPool();
+    if (!pool) {
         return false;
     }
     for (int attempt = 0; attempt < MaxConnectAttempts; ++attempt) {
         // Opens a new connection, because an idle one does not show whether the process still accepts connections.
-        httplib::Client client(host, port);
-        client.set_connection_timeout(ConnectTimeout);
-        client.set_read_timeout(CancelTimeout);
-        const TimePoint startedAt = SteadyClock().now();
-        const auto result = client.Get("/_carob/health");
-        if (result.error() == httplib::Error::Connection) {
+        const ExchangeEnd end = sendControlRequest(pool, http::verb::get, "/_carob/health", HealthTimeout).end;
+        if (end == ExchangeEnd::NotSent) {
             return false;
         }
         // A time-out means that the process is busy. A connection closed without a response may mean that the process is exiting, so check again.
-        if (result || SteadyClock().now() - startedAt >= CancelTimeout) {
+        if (end == ExchangeEnd::Answered || end == ExchangeEnd::TimedOut) {
             return true;
         }
         std::this_thread::sleep_for(ConnectRetryDelay);
@@ -178,38 +211,4 @@
     return true;
 }
 
-std::unique_ptr<httplib::Client> BackendClient::acquireConnection(uint64_t &generation)
-{
-    std::string host;
-    int port = 0;
-    {
-        const std::scoped_lock lock(m_mutex);
-        generation = m_addressGeneration;
-        if (m_port == 0) {
-            return nullptr;
-        }
-        if (!m_idleConnections.empty()) {
-            std::unique_ptr<httplib::Client> client = std::move(m_idleConnections.back());
-            m_idleConnections.pop_back();
-            return client;
-        }
-        host = m_host;
-        port = m_port;
-    }
-    auto client = std::make_unique<httplib::Client>(host, port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_url_encode(false);
-    client->set_connection_timeout(ConnectTimeout);
-    return client;
-}
-
-void BackendClient::releaseConnection(std::unique_ptr<httplib::Client> client, uint64_t generation)
-{
-    const std::scoped_lock lock(m_mutex);
-    if (generation == m_addressGeneration && m_idleConnections.size() < MaxIdleConnections) {
-        m_idleConnections.push_back(std::move(client));
-    }
-}
-
 } // namespace carobjunction
--- a/src/connection/backendclient.h
+++ b/src/connection/backendclient.h
@@ -2,28 +2,33 @@
 
 #include <carobjunction/request/callresult.h>
 
+#include "connection/httpclientpool.h"
+
 #include <memory>
 #include <mutex>
 #include <string>
-#include <vector>
-
-namespace httplib
-{
-class Client;
-}
+#include <thread>
 
 namespace carobjunction
 {
 
 struct SocketAddress;
 
-/** HTTP client for the backend server on this VM, with a pool of keep-alive connections. Thread-safe. */
+/**
+ * HTTP client for the backend server on this VM, with a pool of keep-alive connections. Its functions block; the connections are served by an
+ * event loop on a thread of its own. Thread-safe.
+ *
+ * A faulty backend server may send a second copy of a response, or break off in the middle of one. A response counts only if it is complete
+ * and carries the id of its request; one without an id counts only as the first on its connection, which is then closed.
+ */
 class BackendClient
 {
 public:
     /** @param maxBodyBytes  maximum size of a response body */
     explicit BackendClient(uint64_t maxBodyBytes);
     ~BackendClient();
+    BackendClient(const BackendClient &) = delete;
+    BackendClient &operator=(const BackendClient &) = delete;
 
     /** Sets the address for subsequent requests and closes the idle connections to the previous address. */
     void setAddress(const SocketAddress &address);
@@ -42,15 +47,18 @@
     bool acceptsConnections();
 
 private:
-    std::unique_ptr<httplib::Client> acquireConnection(uint64_t &generation);
-    void releaseConnection(std::unique_ptr<httplib::Client> client, uint64_t generation);
+    using PoolPtr = std::shared_ptr<HttpClientPool>;
+
+    PoolPtr currentPool();
+    ExchangeResult exchange(const PoolPtr &pool, HttpRequest request, ExchangeOptions options);
+    ExchangeResult sendControlRequest(const PoolPtr &pool, http::verb method, const std::string &path, Duration timeout);
 
     const uint64_t m_maxBodyBytes;
-    std::mutex m_mutex;
-    std::string m_host;
-    int m_port = 0;
-    uint64_t m_addressGeneration = 0; /**< Incremented when the address changes, so that connections to the previous address are not reused. */
-    std::vector<std::unique_ptr<httplib::Client>> m_idleConnections;
+    asio::io_context m_loop { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
+    std::thread m_thread;
+    std::mutex m_mutex; /**< Guards m_pool. */
+    PoolPtr m_pool; /**< Connections to the current address; null until one is set. Used on the thread of the event loop only. */
 };
 
 } // namespace carobjunction
--- a/src/connection/endpoints.cpp
+++ b/src/connection/endpoints.cpp
@@ -19,6 +19,11 @@
     return Tcp::endpoint(ip, parsed->port);
 }
 
+std::string toText(const Tcp::endpoint &endpoint)
+{
+    return SocketAddress { endpoint.address().to_string(), endpoint.port() }.toString();
+}
+
 bool isConnectableAddress(const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -1,5 +1,7 @@
 #include "connection/httpclientpool.h"
 
+#include <carobjunction/process/durations.h>
+
 #include "connection/connectiontimer.h"
 #include "connection/detachedtask.h"
 #include "connection/incomingbodyreservation.h"
@@ -218,6 +220,8 @@
         if (options.isRefusal && options.isRefusal(result.response)) {
             connection->refusedRequestHashes.insert(std::hash<std::string>()(options.requestId));
         }
+        const bool isIdentified = options.identifiesRequest && options.identifiesRequest(result.response);
+        connection->isReusable = connection->isReusable && (isIdentified || options.keepsUnidentified);
         returnToPool(connection, result.response);
         co_return result;
     }
@@ -242,7 +246,7 @@
         const auto digits = keepAlive.substr(timeout + std::string_view("timeout=").size());
         unsigned seconds = 0;
         std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-        idle = std::min<Duration>(idle, std::chrono::milliseconds(static_cast<int64_t>(seconds * 1000 * KeepAliveFraction)));
+        idle = std::min<Duration>(idle, scaled(std::chrono::seconds(seconds), KeepAliveFraction));
     }
     connection->idleDeadline = SteadyClock().now() + idle;
     m_idleConnections.push_back(connection);
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -45,6 +45,8 @@
      * responses are accepted.
      */
     std::function<bool(const HttpResponse &)> identifiesRequest;
+    /** Whether a connection may be reused after a response that `identifiesRequest` does not accept, or if that is empty. */
+    bool keepsUnidentified = true;
     bool requiresNewConnection = false; /**< For requests whose responses cannot identify them. */
     /** Id of the request; may be empty. A connection that has received a refusal of this id is not used for it again. */
     std::string requestId;
--- a/tests/connection/httpclientpooltest.cpp
+++ b/tests/connection/httpclientpooltest.cpp
@@ -77,3 +77,14 @@
     CHECK(exchange(*connections).end == ExchangeEnd::Answered);
     CHECK(connections->openedConnectionCount() == 2);
 }
+
+TEST_CASE_METHOD(HttpExchangeFixture, "HttpClientPool.veryLongKeepAliveTimeout.keepsTheConnection")
+{
+    // Guards against a timeout in seconds that overflows when it is converted to milliseconds.
+    const std::string response = "HTTP/1.1 200 OK\r\nId: r\r\nKeep-Alive: timeout=536870912\r\nContent-Length: 2\r\n\r\nok";
+    ScriptedServer server(loop, { response, response });
+    const auto connections = pool(server);
+    CHECK(exchange(*connections).end == ExchangeEnd::Answered);
+    CHECK(exchange(*connections).end == ExchangeEnd::Answered);
+    CHECK(connections->openedConnectionCount() == 1);
+}
--- a/tests/connection/rawanswerserver.h
+++ b/tests/connection/rawanswerserver.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "connection/answerframings.h"
+
 #include "connection/asio.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <atomic>
 #include <functional>
 #include <string>
 
@@ -43,7 +46,17 @@
         co_await asio::async_write(socket, asio::buffer(bytes), redirectError(ignored));
     }
 
-    int connections = 0;
+    /** Ends a connection without waiting for the client. */
+    static void end(Tcp::socket &socket, ConnectionEnd end)
+    {
+        ErrorCode ignored; // the client may have closed the connection
+        if (end == ConnectionEnd::Reset) {
+            socket.set_option(Tcp::socket::linger(true, 0), ignored);
+        }
+        socket.close(ignored);
+    }
+
+    std::atomic<int> connections = 0;
 
 private:
     Task<void> accept()
