Refuse at once what a queue will not serve in time

During a slowdown of the VM, the predicted wait ignored the requests ahead while slots were free (up to 37 waited for 4 slots); any number of requests that were expected to be late was queued as long as none was late yet; and requests of higher priority kept overtaking the others. Calls of running requests waited for the end of a slowdown until their own deadline, which lost the work of their callers. Change: the prediction counts those ahead and is corrected by observed waits for each priority (WaitCorrection); requests that are expected to be late count against the share of late ones; a request starts during a slowdown if it ends no later than one that waits for its end.

--- a/include/carobjunction/process/slotqueue.h
+++ b/include/carobjunction/process/slotqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carobjunction/process/clock.h>
+#include <carobjunction/process/waitcorrection.h>
 #include <carobjunction/request/reason.h>
 
 #include <cstdint>
@@ -67,7 +68,7 @@
         Duration retryAfter = Duration::zero(); /**< Time after which a refused request may be retried. */
     };
 
-    /** Maximum number of waiting late requests, as a share of the limit. At least one may wait. */
+    /** Maximum number of waiting requests that are late or expected to be, as a share of the limit. At least one may wait. */
     static constexpr double MaxLateShare = 0.25;
     /** A request is short if its expected service time is at most the mean divided by this number. */
     static constexpr int ShortRequestRatio = 3;
@@ -93,7 +94,8 @@
 
     /**
      * Sets the current slowdown of the backend server's VM. A request that starts during a slowdown remains slow until it is answered,
-     * so it waits for the end of the slowdown unless it would still meet its soft deadline.
+     * so it waits for the end of the slowdown unless it would still meet its soft deadline, or is so short that it ends before a request
+     * that waited.
      */
     void setHostSlowdown(const HostSlowdownState &host)
     {
@@ -133,6 +135,9 @@
         Ticket ticket = 0;
         SlotRequest request;
         WaitCallback callback;
+        bool isExpectedLate = false; /**< Whether it was expected to miss its soft deadline when it was queued. */
+        TimePoint queuedAt;
+        Duration predictedWait = Duration::zero(); /**< Wait predicted from the queue when it was queued, without the correction. */
     };
     using Iterator = std::list<WaitingRequest>::iterator;
 
@@ -145,6 +150,7 @@
     bool isLate(const SlotRequest &request, TimePoint now) const;
     SchedulingKey schedulingKey(const SlotRequest &request, TimePoint now) const;
     bool hasSlotFor(const SlotRequest &request) const;
+    bool isSlowRunSooner(const SlotRequest &request) const;
     bool shouldStartNow(const SlotRequest &request, TimePoint now) const;
     Duration expectedServiceTime(const SlotRequest &request) const;
     Iterator nextToGrant(TimePoint now);
@@ -157,6 +163,7 @@
     HostSlowdownState m_hostSlowdown;
     Ticket m_lastTicket = 0;
     std::list<WaitingRequest> m_waiting;
+    WaitCorrection m_waitCorrection;
     Duration m_meanServiceTime = std::chrono::milliseconds(100);
 };
 
--- a/src/process/slotqueue.cpp
+++ b/src/process/slotqueue.cpp
@@ -40,21 +40,32 @@
     return scaled(request.serviceTime, m_hostSlowdown.isSlow ? m_hostSlowdown.baselineFactor : m_hostSlowdown.slowdownFactor);
 }
 
+/** @return whether a request that runs slowly from now on is answered no later than one that waits for the end of the slowdown */
+bool SlotQueue::isSlowRunSooner(const SlotRequest &request) const
+{
+    return scaled(request.serviceTime, m_hostSlowdown.slowdownFactor) <= ExpectedSlowdownRemaining + expectedServiceTime(request);
+}
+
 bool SlotQueue::shouldStartNow(const SlotRequest &request, TimePoint now) const
 {
     if (!m_hostSlowdown.isSlow) {
         return true;
     }
-    return request.mayQueue && now + scaled(request.serviceTime, m_hostSlowdown.slowdownFactor) <= request.softDeadlineAt;
+    if (!request.mayQueue) {
+        return false;
+    }
+    return isSlowRunSooner(request) || now + scaled(request.serviceTime, m_hostSlowdown.slowdownFactor) <= request.softDeadlineAt;
 }
 
 Duration SlotQueue::predictedWait(size_t ahead) const
 {
     const Duration slowdownWait = m_hostSlowdown.isSlow ? ExpectedSlowdownRemaining : Duration::zero();
-    if (m_running < m_limit) {
+    const uint32_t freeSlots = m_limit - std::min(m_running, m_limit);
+    if (ahead < freeSlots) {
         return slowdownWait;
     }
-    return slowdownWait + scaled(m_meanServiceTime, (static_cast<double>(ahead) + 0.5) / static_cast<double>(m_limit));
+    // During a slowdown, requests also wait while slots are free, so those ahead use the free slots first.
+    return slowdownWait + scaled(m_meanServiceTime, (static_cast<double>(ahead - freeSlots) + 0.5) / static_cast<double>(m_limit));
 }
 
 size_t SlotQueue::countAhead(const SlotRequest &request, TimePoint now) const
@@ -68,14 +79,16 @@
     Decision decision;
     const bool hasSlot = hasSlotFor(request);
     const bool isFree = hasSlot && shouldStartNow(request, now);
-    const Duration wait = isFree ? Duration::zero() : predictedWait(countAhead(request, now));
-    decision.retryAfter = std::max<Duration>(predictedWait(m_waiting.size()), std::chrono::milliseconds(50));
+    const Duration queueWait = isFree ? Duration::zero() : predictedWait(countAhead(request, now));
+    const Duration wait = m_waitCorrection.corrected(request.priority, queueWait);
+    decision.retryAfter = std::max<Duration>(m_waitCorrection.corrected(request.priority, predictedWait(m_waiting.size())), std::chrono::milliseconds(50));
     if (now + wait + scaled(expectedServiceTime(request), MinServiceTimeShare) >= request.deadlineAt) {
         decision.reason = Reason::DeadlineTooShort;
         return decision;
     }
     if (isFree) {
         ++m_running;
+        m_waitCorrection.onGranted(request.priority, queueWait, Duration::zero());
         decision.isGranted = true;
         return decision;
     }
@@ -83,12 +96,13 @@
         decision.reason = hasSlot ? Reason::HostSlow : Reason::Full;
         return decision;
     }
-    if (now + wait + request.serviceTime > request.softDeadlineAt && !isShort(request) && !isWithinLateShare(countLate(now) + 1)) {
+    const bool isExpectedLate = now + wait + request.serviceTime > request.softDeadlineAt && !isShort(request);
+    if (isExpectedLate && !isWithinLateShare(countLate(now) + 1)) {
         decision.reason = Reason::Full;
         return decision;
     }
     decision.ticket = ++m_lastTicket;
-    m_waiting.push_back({ m_lastTicket, request, std::move(callback) });
+    m_waiting.push_back({ m_lastTicket, request, std::move(callback), isExpectedLate, now, queueWait });
     return decision;
 }
 
@@ -106,6 +120,7 @@
         if (!hasSlotFor(next->request) || !shouldStartNow(next->request, now)) {
             return;
         }
+        m_waitCorrection.onGranted(next->request.priority, next->predictedWait, now - next->queuedAt);
         const WaitCallback callback = std::move(next->callback);
         m_waiting.erase(next);
         ++m_running;
@@ -127,8 +142,8 @@
 
 size_t SlotQueue::countLate(TimePoint now) const
 {
-    return static_cast<size_t>(
-        std::count_if(m_waiting.begin(), m_waiting.end(), [this, now](const WaitingRequest &waiting) { return isLate(waiting.request, now); }));
+    return static_cast<size_t>(std::count_if(
+        m_waiting.begin(), m_waiting.end(), [this, now](const WaitingRequest &waiting) { return waiting.isExpectedLate || isLate(waiting.request, now); }));
 }
 
 bool SlotQueue::isWithinLateShare(size_t lateCount) const
@@ -150,6 +165,7 @@
         }
     }
     for (const WaitingRequest &waiting : expired) {
+        m_waitCorrection.onExpired(waiting.request.priority, waiting.predictedWait, now - waiting.queuedAt);
         waiting.callback(SlotWaitResult::Expired);
     }
 }
--- a/tests/process/slotqueuetest.cpp
+++ b/tests/process/slotqueuetest.cpp
@@ -229,3 +229,39 @@
     queue.expire(clock.now());
     CHECK(notGranted == std::vector<std::string> { "lookup" });
 }
+
+TEST_CASE_METHOD(SlotQueueFixture, "SlotQueue.overload.queuesOnlyOneThatIsExpectedLate")
+{
+    // Guards against a burst whose requests are all queued, because none of them is late yet, and then held until their deadlines pass.
+    fillToLimit();
+    int queuedCount = 0;
+    while (requestSlot(request(1, 300ms, 2s)).ticket) {
+        ++queuedCount;
+        REQUIRE(queuedCount < 20);
+    }
+    CHECK(queuedCount == 5); // each waits 50 ms for the one ahead of it: four are answered within 300 ms, the fifth is the late one
+    CHECK(requestSlot(request(1, 300ms, 2s)).reason == Reason::Full);
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.slowSpellWithFreeSlots.countsThoseAheadInThePredictedWait")
+{
+    // Guards against a queue that grows without bound during a temporary slowdown, because the slots are free meanwhile.
+    setHostSlowdown(5);
+    int queuedCount = 0;
+    while (requestSlot(request(1, 420ms, 5s)).ticket) {
+        ++queuedCount;
+        REQUIRE(queuedCount < 40);
+    }
+    CHECK(queuedCount == 6); // two in the free slots, three that wait for them, and one that is expected to be late
+}
+
+TEST_CASE_METHOD(SlowHostFixture, "SlotQueue.shortCallInASlowSpell.startsIfItEndsSoonerThanTheSpell")
+{
+    // Guards against calls of running requests that wait for the end of a slowdown until their deadline, which fails the requests too.
+    setHostSlowdown(5);
+    CHECK(requestSlot(request(1, 50ms, 200ms, 30ms)).isGranted);
+    CHECK_FALSE(requestSlot(request(1, 50ms, 2s, 60ms)).isGranted);
+    SlotRequest elsewhere = request(1, 50ms, 200ms, 30ms);
+    elsewhere.mayQueue = false;
+    CHECK(requestSlot(elsewhere).reason == Reason::HostSlow);
+}
