Start no request that a stop, a suspension or its caller has ended

Cause: (1) requests were accepted until 2.5 s after a stop request whatever their service time and the grace period, and cut off with 502 at 0.86 of it; (2) an entry daemon whose VM was suspended retried with a deadline that had passed for its caller, because the steady clock stands still; (3) after a pause, requests of callers that had left were started if the target's load was not probed first. Change: StopSchedule decides what may start and shortens the deadlines passed on; RequestRouter subtracts suspended time from the deadlines; HttpListener looks for the caller's close before it dispatches. Retry-After of a request that all targets refused is the shortest of their predicted waits, no longer that of the first daemon by name.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -311,7 +311,10 @@
     m_cancellation = cancellation;
     const bool isHead = request.method() == http::verb::head;
     const bool wantsKeepAlive = request.keep_alive();
-    if (m_buffer.size() == 0) {
+    if (m_buffer.size() == 0 && isClosedByPeer(m_socket)) {
+        // The client gave up while this process was delayed; its request must not start.
+        cancellation->request();
+    } else if (m_buffer.size() == 0) {
         cancelOnClientClose(cancellation);
     }
     ErrorCode error;
--- a/src/process/suspensionmeter.h
+++ b/src/process/suspensionmeter.h
@@ -21,6 +21,12 @@
         return suspendedTimeSinceBoot() - m_suspendedAtStart;
     }
 
+    /** @return total time of suspension since boot: CLOCK_BOOTTIME includes it, CLOCK_MONOTONIC does not */
+    static Duration suspendedTimeSinceBoot()
+    {
+        return readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
+    }
+
 private:
     static Duration readClock(clockid_t clock)
     {
@@ -29,12 +35,6 @@
         return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
     }
 
-    /** @return total time of suspension since boot: CLOCK_BOOTTIME includes it, CLOCK_MONOTONIC does not */
-    static Duration suspendedTimeSinceBoot()
-    {
-        return readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
-    }
-
     Duration m_suspendedAtStart;
 };
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/clusterretrybudget.h>
 #include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/stopschedule.h>
 #include <carobjunction/process/vmdirectory.h>
 
 #include "connection/datagramport.h"
@@ -11,6 +12,7 @@
 #include "connection/messagefields.h"
 #include "connection/peercodec.h"
 #include "process/clustersync.h"
+#include "process/suspensionmeter.h"
 #include "process/targetservice.h"
 #include "process/vmsettings.h"
 #include "request/requestrouter.h"
@@ -56,10 +58,6 @@
      * headers and the kernel's buffers for connections.
      */
     static constexpr double BodyMemoryShare = 0.65;
-    /** Share of the grace period after which requests in progress are aborted and answered. */
-    static constexpr double AbortGraceShare = 0.86;
-    /** Share of the grace period after which the process ends even if requests are still in progress. */
-    static constexpr double ExitGraceShare = 0.93;
     /** Minimum time between closing the ports and ending the process, to answer requests that arrived during the close. */
     static constexpr Duration MinCloseDuration = std::chrono::milliseconds(100);
     /** Maximum time that the response to a leave waits until the leave is stored, so that it still applies after a daemon restart. */
@@ -71,8 +69,6 @@
      * within this time.
      */
     static constexpr Duration PeerBodiesFullRetryAfter = std::chrono::milliseconds(500);
-    /** Time after a stop request in which requests of callers are still served. Later requests might not finish before the process ends. */
-    static constexpr Duration StopServeDuration = std::chrono::milliseconds(2500);
 
     VmDaemon(asio::io_context &loop, VmSettings settings)
         : m_loop(loop)
@@ -97,7 +93,11 @@
                                        [this](std::string daemon, ForwardRequest request, CancellationPtr cancellation) {
                                            return forward(std::move(daemon), std::move(request), std::move(cancellation));
                                        },
-                                       m_settings.service },
+                                       m_settings.service,
+                                       &SuspensionMeter::suspendedTimeSinceBoot,
+                                       [this]() -> const StopSchedule * {
+                                           return m_stopSchedule ? &*m_stopSchedule : nullptr;
+                                       } },
                    Platform::headers(),
                    m_directory,
                    m_clusterRetryBudget,
@@ -140,10 +140,10 @@
     /** Starts a graceful stop: readiness checks fail and requests in progress finish. The event loop is stopped when it is complete. */
     void stop()
     {
-        if (m_stopRequestedAt) {
+        if (m_stopSchedule) {
             return;
         }
-        m_stopRequestedAt = SteadyClock().now();
+        m_stopSchedule.emplace(SteadyClock().now(), m_settings.gracePeriod);
         EventLog::write(LogLevel::Info, Event::DaemonStopping, { { "active", std::to_string(activeRequests()) } });
         m_callerPort->disableKeepAlive();
         m_target.stopAdmission();
@@ -216,7 +216,7 @@
 
     Task<MaybeResponse> handleCaller(HttpRequest message, CancellationPtr cancellation)
     {
-        if (m_stopRequestedAt && SteadyClock().now() - *m_stopRequestedAt > StopServeDuration) {
+        if (m_stopSchedule && SteadyClock().now() > m_stopSchedule->serveUntil()) {
             co_return m_router.refuseWhenStopping(message);
         }
         co_return co_await m_router.handle(std::move(message), std::move(cancellation));
@@ -251,7 +251,7 @@
         if (!Platform::isReadinessCheck(message)) {
             co_return textResponse(http::status::not_found, "unknown call");
         }
-        const bool isReady = !m_stopRequestedAt && m_sync.routes() != nullptr;
+        const bool isReady = !m_stopSchedule && m_sync.routes() != nullptr;
         if (isReady && !std::exchange(m_hasLoggedReady, true)) {
             EventLog::write(LogLevel::Info, Event::DaemonReady, { { "config", std::to_string(m_sync.routes()->version()) } });
         }
@@ -377,7 +377,7 @@
             m_metrics.set(Gauge::SlotLimit, m_target.report().limit);
             m_target.compareSlotLimits(m_directory.slotLimitStatistics(m_target.record().service));
         }
-        if (m_stopRequestedAt) {
+        if (m_stopSchedule) {
             advanceStop();
         }
     }
@@ -385,20 +385,19 @@
     /** Closes the ports, aborts requests and stops the event loop, each as soon as its condition in the graceful stop is met. */
     void advanceStop()
     {
-        const Duration sinceStopRequest = SteadyClock().now() - *m_stopRequestedAt;
-        const auto gracePeriodSeconds = std::chrono::duration<double>(m_settings.gracePeriod);
-        if (!m_portsClosedAt && activeRequests() == 0 && sinceStopRequest >= StopServeDuration) {
+        const TimePoint now = SteadyClock().now();
+        if (!m_portsClosedAt && activeRequests() == 0 && now >= m_stopSchedule->serveUntil()) {
             // Later connection attempts of callers are refused, which shows the callers that their requests have not run.
             m_callerPort->close();
             m_peerPort->close();
-            m_portsClosedAt = SteadyClock().now();
+            m_portsClosedAt = now;
         }
-        const bool isDrained = m_portsClosedAt && pendingRequests() == 0 && SteadyClock().now() - *m_portsClosedAt >= MinCloseDuration;
-        if (sinceStopRequest >= gracePeriodSeconds * AbortGraceShare) {
+        const bool isDrained = m_portsClosedAt && pendingRequests() == 0 && now - *m_portsClosedAt >= MinCloseDuration;
+        if (now >= m_stopSchedule->answerBy()) {
             m_callerPort->cancelRequests();
             m_peerPort->cancelRequests();
         }
-        if (isDrained || sinceStopRequest >= gracePeriodSeconds * ExitGraceShare) {
+        if (isDrained || now >= m_stopSchedule->exitBy()) {
             EventLog::write(LogLevel::Info, Event::DaemonStopped, { { "cause", isDrained ? "drained" : "drain-limit" } });
             m_loop.stop();
         }
@@ -421,7 +420,7 @@
     std::shared_ptr<HttpListener> m_peerPort;
     std::shared_ptr<HttpListener> m_readyPort;
     std::shared_ptr<HttpListener> m_operatorPort;
-    std::optional<TimePoint> m_stopRequestedAt;
+    std::optional<StopSchedule> m_stopSchedule; /**< Set from the stop request on. */
     std::optional<TimePoint> m_portsClosedAt; /**< Time at which the caller and peer ports were closed during the stop. */
     bool m_hasLoggedReady = false;
 };
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -56,6 +56,7 @@
     const HostRoute *route = nullptr;
     ForwardRequest request;
     TimePoint startedAt;
+    Duration suspendedTime = Duration::zero(); /**< Total suspension of the VM when the deadlines were last adjusted. */
     TimePoint chosenAt; /**< Time at which the latest target was chosen. */
     std::set<std::string> triedDaemons; /**< Daemons to which the request was forwarded, whatever the result. */
     std::map<std::string, Duration> predictedWaitByDaemon; /**< Predicted wait of each daemon that refused the request for lack of capacity. */
@@ -89,6 +90,7 @@
 {
     RequestState state;
     state.startedAt = SteadyClock().now();
+    state.suspendedTime = m_environment.suspendedTime();
     std::optional<HttpResponse> response = prepareRequest(state, std::move(message));
     if (!response) {
         response = co_await forwardUntilAnswered(state, cancellation);
@@ -255,6 +257,14 @@
     return chooseInScope(state, TargetScope::OtherRegionWithFreeSlot, true, now);
 }
 
+/** @return time after which the first of the targets that refused the request for lack of capacity expects to have some */
+Duration RequestRouter::shortestPredictedWait(const RequestState &state)
+{
+    const auto shortest = std::min_element(
+        state.predictedWaitByDaemon.begin(), state.predictedWaitByDaemon.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return shortest == state.predictedWaitByDaemon.end() ? Duration(StartupRetryAfter) : shortest->second;
+}
+
 /**
  * Chooses the next target, in order of preference: a free slot in this region, a queue in this region that meets the aim, a free slot in
  * another region that meets the aim, a queue in this region that meets the deadline, a free slot in another region that meets the deadline.
@@ -284,21 +294,47 @@
     return state.predictedWaitByDaemon.empty() ? chooseInScope(state, TargetScope::Anywhere, true, now) : std::nullopt;
 }
 
+/** Moves the deadlines forward by the time for which the VM was suspended, because the steady clock excludes it and the caller does not. */
+void RequestRouter::subtractSuspension(RequestState &state) const
+{
+    const Duration total = m_environment.suspendedTime();
+    const Duration suspended = total - std::exchange(state.suspendedTime, total);
+    state.request.softDeadlineAt -= suspended;
+    state.request.deadlineAt -= suspended;
+}
+
+/**
+ * Shortens the deadline of a request to the end of a stop in progress, so that no target starts it when its answer would come too late.
+ * @return whether another attempt may start
+ */
+bool RequestRouter::fitsStopSchedule(RequestState &state, TimePoint now) const
+{
+    const StopSchedule *schedule = m_environment.stopSchedule();
+    if (schedule == nullptr) {
+        return true;
+    }
+    state.request.deadlineAt = std::min(state.request.deadlineAt, schedule->answerBy());
+    return schedule->mayStart(state.request.idempotent, state.request.work, now);
+}
+
 Task<HttpResponse> RequestRouter::forwardUntilAnswered(RequestState &state, CancellationPtr cancellation)
 {
     while (true) {
         const TimePoint now = SteadyClock().now();
+        subtractSuspension(state);
         if (cancellation->isRequested()) {
             co_return makeFinalAnswer(state, state.lastReason = Reason::Cancelled, {});
         }
         if (now >= state.request.deadlineAt) {
             co_return makeFinalAnswer(state, state.lastReason = Reason::DeadlineExceeded, ShortestRetryAfter);
         }
+        if (!fitsStopSchedule(state, now)) {
+            co_return makeFinalAnswer(state, state.lastReason = Reason::Leaving, ShortestRetryAfter);
+        }
         const std::optional<std::string> daemon = chooseTarget(state, now);
         const VmState *vm = daemon ? m_vmDirectory.find(*daemon) : nullptr;
         if (vm == nullptr) {
-            const Duration wait = state.predictedWaitByDaemon.empty() ? Duration(StartupRetryAfter) : state.predictedWaitByDaemon.begin()->second;
-            co_return makeFinalAnswer(state, state.lastReason, wait);
+            co_return makeFinalAnswer(state, state.lastReason, shortestPredictedWait(state));
         }
         state.request.backend = vm->record.backend.id;
         state.chosenAt = now;
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/clusterretrybudget.h>
 #include <carobjunction/process/crashhistory.h>
+#include <carobjunction/process/stopschedule.h>
 #include <carobjunction/process/vmdirectory.h>
 #include <carobjunction/version/routetable.h>
 
@@ -24,6 +25,8 @@
     std::function<std::shared_ptr<const RouteTable>()> routes; /**< Returns the routes in force, or null before the first table is published. */
     std::function<Task<ForwardResult>(std::string daemon, ForwardRequest, CancellationPtr)> forward; /**< Forwards a request to the daemon of a target. */
     std::string callerService; /**< Service of the VM on which this daemon runs. */
+    std::function<Duration()> suspendedTime; /**< Returns the total time for which the VM was suspended since boot, see SuspensionMeter. */
+    std::function<const StopSchedule *()> stopSchedule; /**< Returns the schedule of the stop in progress, or null if there is none. */
 };
 
 /**
@@ -68,7 +71,10 @@
     void recordOutcome(const RequestState &state, const HttpResponse &response, bool wasCancelled);
     std::optional<HttpResponse> prepareRequest(RequestState &state, HttpRequest message);
     const std::string &chooseService(const HostRoute &route);
+    void subtractSuspension(RequestState &state) const;
+    bool fitsStopSchedule(RequestState &state, TimePoint now) const;
     Task<HttpResponse> forwardUntilAnswered(RequestState &state, CancellationPtr cancellation);
+    static Duration shortestPredictedWait(const RequestState &state);
     std::optional<std::string> chooseTarget(RequestState &state, TimePoint now);
     std::optional<std::string> chooseInScope(RequestState &state, TargetScope scope, bool mayQueue, TimePoint now);
     std::optional<std::string> chooseInOtherRegion(RequestState &state, TimePoint answerDeadline, TimePoint now);
--- a/tests/connection/httplistenerclosefixture.h
+++ b/tests/connection/httplistenerclosefixture.h
@@ -34,6 +34,7 @@
 
     Task<MaybeResponse> respond(HttpRequest request, CancellationPtr cancellation)
     {
+        isCancelledAtStart = cancellation->isRequested();
         MaybeResponse response = co_await handleRequest(std::move(request), std::move(cancellation));
         response->set("Id", "r" + std::to_string(handledRequests));
         response->body() = body;
@@ -106,6 +107,7 @@
     std::string received;
     std::vector<UndeliveredCause> undeliveredCauses;
     std::string undeliveredId;
+    bool isCancelledAtStart = false; /**< Whether the latest request was cancelled before its handler started. */
     bool returnsNoResponse = false;
     bool handlerThrows = false;
     bool limitsThrow = false;
--- a/tests/connection/httplistenerclosetest.cpp
+++ b/tests/connection/httplistenerclosetest.cpp
@@ -276,3 +276,16 @@
     CHECK(received.find("Not-Run: yes") != std::string::npos);
     CHECK(listener->activeRequests() == 0);
 }
+
+TEST_CASE_METHOD(HttpListenerCloseFixture, "HttpListener.requestWhoseCallerLeftDuringAPause.isCancelledBeforeItStarts")
+{
+    // Guards against a process that was paused for seconds and then runs the requests of callers that gave up meanwhile.
+    asio::post(loop, [this] {
+        write(lookupRequest);
+        caller.close();
+        std::this_thread::sleep_for(50ms);
+    });
+    runFor(200ms);
+    CHECK(handledRequests == 1);
+    CHECK(isCancelledAtStart);
+}
--- a/tests/request/requestroutertest.cpp
+++ b/tests/request/requestroutertest.cpp
@@ -68,6 +68,7 @@
     {
         contactedDaemons.push_back(daemon);
         lastRequest = std::move(request);
+        suspendedTime += suspensionPerForward;
         if (scriptedResults.empty()) {
             co_return answeredResult(200);
         }
@@ -101,9 +102,16 @@
     std::deque<ForwardResult> scriptedResults;
     std::vector<std::string> contactedDaemons;
     ForwardRequest lastRequest;
+    Duration suspendedTime = 7s; /**< Time for which the VM was suspended since boot. */
+    Duration suspensionPerForward = Duration::zero(); /**< Time for which the VM is suspended while a request is at another daemon. */
+    std::optional<StopSchedule> stopSchedule;
     RequestRouter router { { [this] { return routes; },
                              [this](std::string daemon, ForwardRequest request, CancellationPtr) { return forward(std::move(daemon), std::move(request)); },
-                             "ordering" },
+                             "ordering",
+                             [this] { return suspendedTime; },
+                             [this] {
+                                 return stopSchedule ? &*stopSchedule : nullptr;
+                             } },
                            Headers,
                            directory,
                            retryBudget,
@@ -240,3 +248,51 @@
     CHECK(toDispatch >= 9);
     CHECK(toDispatch <= 11);
 }
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.vmSuspendedPastTheDeadline.sendsTheRequestNowhereElse")
+{
+    // Guards against a daemon that wakes up after seconds and acts on a deadline that has passed meanwhile, because its steady clock stood still.
+    suspensionPerForward = 5s;
+    scriptedResults.push_back(ForwardResult::notRun(Reason::Full));
+    CHECK(call("/order/1", http::verb::post).result_int() == 503);
+    CHECK(contactedDaemons.size() == 1);
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.vmSuspendedBriefly.shortensTheRemainingTime")
+{
+    suspensionPerForward = 300ms;
+    scriptedResults.push_back(ForwardResult::notRun(Reason::Full));
+    const TimePoint start = SteadyClock().now();
+    CHECK(call("/lookup/1").result_int() == 200);
+    REQUIRE(contactedDaemons.size() == 2);
+    CHECK(lastRequest.deadlineAt < start + 800ms); // 1 s less the suspension
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.orderLateInAStop.isRefusedInsteadOfCutOff")
+{
+    // Guards against an order that is dispatched shortly before the daemon aborts its requests.
+    for (int i = 0; i < 20; ++i) {
+        serviceTimes.observe("order", 400ms);
+    }
+    stopSchedule.emplace(SteadyClock().now() - 1200ms, 2s);
+    CHECK(call("/order/1", http::verb::post).result_int() == 503);
+    CHECK(contactedDaemons.empty());
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.requestDuringAStop.mustBeAnsweredBeforeItsEnd")
+{
+    stopSchedule.emplace(SteadyClock().now() - 1200ms, 2s);
+    CHECK(call("/lookup/1").result_int() == 200);
+    CHECK(lastRequest.deadlineAt == stopSchedule->answerBy());
+}
+
+TEST_CASE_METHOD(RequestRouterFixture, "RequestRouter.allTargetsFull.namesTheShortestWaitInRetryAfter")
+{
+    // Guards against a Retry-After that depends on the names of the daemons.
+    for (const Duration wait : { Duration(900ms), Duration(200ms), Duration(700ms), Duration(200ms), Duration(700ms), Duration(900ms) }) {
+        scriptedResults.push_back(ForwardResult::notRun(Reason::Full, wait));
+    }
+    const HttpResponse response = call("/lookup/1");
+    CHECK(response.result_int() == 503);
+    CHECK(fieldValue(response, "Retry-After") == "0.20");
+}
