--- a/include/carobjunction/process/admissioncontroller.h
+++ b/include/carobjunction/process/admissioncontroller.h
@@ -48,7 +48,8 @@
      * @param clock  time source; must outlive the controller
      * @param limits  limits in effect until configure() is called
      */
-    explicit AdmissionController(const Clock &clock, AdmissionLimits limits = {}) : m_clock(clock), m_limits(limits), m_concurrencyLimit(limits.slots)
+    explicit AdmissionController(const Clock &clock, AdmissionLimits limits = {})
+        : m_clock(clock), m_limits(limits), m_concurrencyLimit(limits.slots), m_reportSequence(firstReportSequence(clock.now()))
     {
     }
 
@@ -457,6 +458,11 @@
         return m_serviceTime.expected(medianRunningAge()) * ahead / static_cast<int64_t>(limit());
     }
 
+    static uint64_t firstReportSequence(TimePoint now)
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
+    }
+
     LoadReport makeReport()
     {
         const TimePoint now = m_clock.now();
@@ -487,6 +493,10 @@
     TimePoint m_startedAt {};
     AdmissionTicket m_lastTicket = 0;
     AdmissionTicket m_exclusiveTicket = 0; /**< Suspected request that is running alone or waiting to run alone; 0 if there is none. */
+    /**
+     * Sequence number of the last load report. It starts at the clock's time in microseconds, because the numbers of a restarted daemon must
+     * follow those of its previous run: the backend server may have kept its incarnation.
+     */
     uint64_t m_reportSequence;
     std::unordered_map<AdmissionTicket, detail::RunningRequest> m_running;
     std::vector<detail::QueuedRequest> m_queue;
--- a/include/carobjunction/process/suspecttable.h
+++ b/include/carobjunction/process/suspecttable.h
@@ -31,8 +31,8 @@
 /**
  * Replicated table of the fingerprints of requests that were in flight when a backend server crashed. Thread-safe.
  *
- * The first crash makes every request in flight a suspect. A suspect is condemned only if the backend server crashes while the suspect
- * is the only request in flight. Entries of other daemons are merged: of two entries of a fingerprint, the one that supersedes the other
+ * The first crash makes every request in flight a suspect. A suspect is condemned only if the backend server crashes while no request
+ * with another fingerprint is in flight. Entries of other daemons are merged: of two entries of a fingerprint, the one that supersedes the other
  * is kept, so that merging is commutative and idempotent.
  */
 template<MonotonicClock Clock>
@@ -117,7 +117,7 @@
     std::vector<SuspectEntry> changed;
     for (const uint64_t fingerprint : fingerprints) {
         StoredEntry &stored = findOrCreate(fingerprint, now);
-        const bool isAlone = inFlight.size() == 1;
+        const bool isAlone = fingerprints.size() == 1;
         const bool isCondemned = stored.entry.state == SuspectState::Condemned || (isAlone && stored.entry.state == SuspectState::Suspect);
         stored.entry.service = service;
         stored.entry.state = isCondemned ? SuspectState::Condemned : SuspectState::Suspect;
--- a/src/process/admissionservice.cpp
+++ b/src/process/admissionservice.cpp
@@ -143,7 +143,7 @@
 
 void AdmissionService::reportCrash(uint64_t incarnation)
 {
-    const std::optional<CrashReport> report = m_crashDetector.onProcessEnded(incarnation);
+    const std::optional<CrashedRequests> report = m_crashDetector.onProcessEnded(incarnation);
     if (!report) {
         return;
     }
--- a/src/process/crashdetector.h
+++ b/src/process/crashdetector.h
@@ -10,7 +10,7 @@
 {
 
 /** Requests that were in progress when the backend server crashed. */
-struct CrashReport {
+struct CrashedRequests {
     std::vector<uint64_t> fingerprints;
 };
 
@@ -53,10 +53,10 @@
      * Records that the backend server process of @p incarnation has ended.
      * @return the requests that were in progress; empty if no response of this incarnation was lost, or if it was already reported
      */
-    std::optional<CrashReport> onProcessEnded(uint64_t incarnation)
+    std::optional<CrashedRequests> onProcessEnded(uint64_t incarnation)
     {
         const std::scoped_lock lock(m_mutex);
-        CrashReport report;
+        CrashedRequests report;
         for (const RequestRun &run : m_lostRequests) {
             if (run.incarnation == incarnation) {
                 report.fingerprints.push_back(run.fingerprint);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -247,6 +247,7 @@
 {
     startTasks();
     if (!openPorts()) {
+        stop();
         return false;
     }
     EventLog::write(LogLevel::Info,
--- a/src/process/storeprotocol.cpp
+++ b/src/process/storeprotocol.cpp
@@ -19,6 +19,12 @@
     }
 }
 
+/** Serialises a response. Replaces text that is not UTF-8, on which dump() would throw. */
+std::string serialise(const json &response)
+{
+    return response.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 json valueOrNull(const std::optional<json> &value)
 {
     return value ? *value : json(nullptr);
@@ -64,7 +70,7 @@
     for (const StoreOpResult &entry : result.results) {
         list.push_back({ { "applied", entry.applied }, { "version", entry.version }, { "value", valueOrNull(entry.value) } });
     }
-    return json { { "committed", result.committed }, { "results", std::move(list) } }.dump();
+    return serialise({ { "committed", result.committed }, { "results", std::move(list) } });
 }
 
 std::optional<TransactResult> parseTransactResponse(std::string_view body, size_t ops)
@@ -100,7 +106,7 @@
     for (const StoreRow &row : rows) {
         list.push_back({ { "key", row.key }, { "version", row.version }, { "value", row.value } });
     }
-    return json { { "rows", std::move(list) } }.dump();
+    return serialise({ { "rows", std::move(list) } });
 }
 
 std::optional<std::vector<StoreRow>> parseReadResponse(std::string_view body)
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -402,9 +402,13 @@
     }
     const bool isSuccess = http::to_status_class(status) == http::status_class::successful;
     const bool isSealed = hasField(response, m_headers.seal) && fieldValue(response, m_headers.requestId) == request.requestId;
-    if ((isSuccess && !isSealed) || response.find(http::field::content_encoding) != response.end()) {
-        EventLog::write(LogLevel::Warning, Event::AnswerDiscarded, { { "request", request.requestId }, { "status", std::to_string(response.result_int()) } });
-        return ForwardResult::unknown(Reason::AnswerLost, "answer without the backend server's seal");
+    const bool isEncoded = response.find(http::field::content_encoding) != response.end();
+    if ((isSuccess && !isSealed) || isEncoded) {
+        const std::string cause = isEncoded ? "answer with a content encoding" : "answer without the backend server's seal";
+        EventLog::write(LogLevel::Warning,
+                        Event::AnswerDiscarded,
+                        { { "request", request.requestId }, { "status", std::to_string(response.result_int()) }, { "reason", cause } });
+        return ForwardResult::unknown(Reason::AnswerLost, cause);
     }
     ForwardResult result;
     result.outcome = Outcome::Ran;
--- a/tests/process/admissioncontrollertest.cpp
+++ b/tests/process/admissioncontrollertest.cpp
@@ -199,3 +199,16 @@
         }
     }));
 }
+
+TEST_CASE_METHOD(AdmissionFixture, "AdmissionController.restartedDaemon.continuesTheSequenceOfItsReports")
+{
+    // Guards against the reports of a restarted daemon that are ignored as outdated, because the backend server kept its incarnation.
+    for (int i = 0; i < 1000; ++i) {
+        controller.load();
+    }
+    const uint64_t lastOfPreviousRun = controller.load().sequence;
+    clock.advance(1s);
+    AdmissionController<FakeClock> restarted(clock);
+    restarted.announce("ordering", 7);
+    CHECK(restarted.load().sequence > lastOfPreviousRun);
+}
--- a/tests/process/claimledgertest.cpp
+++ b/tests/process/claimledgertest.cpp
@@ -450,3 +450,12 @@
     }
     CHECK(state == ClaimState::Won);
 }
+
+TEST_CASE("StoreProtocol.textThatIsNotUtf8.isReplacedInResponses")
+{
+    // Guards against an exception that ends the connection of a store client because of one row with an odd key.
+    CHECK_NOTHROW(storeprotocol::serialiseReadResponse({ { "\xff", 1, nlohmann::json("\xfe") } }));
+    TransactResult result;
+    result.results.push_back({ true, 1, nlohmann::json("\xfe") });
+    CHECK_NOTHROW(storeprotocol::serialiseTransactResponse(result));
+}
--- a/tests/process/suspecttabletest.cpp
+++ b/tests/process/suspecttabletest.cpp
@@ -158,3 +158,12 @@
     restarted.onCrash("ordering", std::vector { CrashingFingerprint });
     CHECK(table.merge(restarted.entries().front()));
 }
+
+TEST_CASE_METHOD(SuspectFixture, "SuspectTable.crashWithItsOwnCopyInFlight.condemns")
+{
+    // Guards against a request that crashes every backend server and is never condemned, because its caller sends it twice at the same time.
+    recordCrash({ CrashingFingerprint, CrashingFingerprint });
+    CHECK(table.state(CrashingFingerprint) == SuspectState::Suspect);
+    recordCrash({ CrashingFingerprint, CrashingFingerprint });
+    CHECK(table.state(CrashingFingerprint) == SuspectState::Condemned);
+}
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -20,12 +20,12 @@
     }
 
     /** Creates a new TargetService for the backend server at @p address, whose first heartbeat it has received. */
-    void createService(const Tcp::endpoint &address)
+    void createService(const Tcp::endpoint &address, Duration heartbeatTimeout = 10s)
     {
         target.emplace(loop,
                        address,
                        headers,
-                       10s,
+                       heartbeatTimeout,
                        crashes,
                        work,
                        TargetCallbacks { [] {},
@@ -448,3 +448,57 @@
     CHECK(run("r1").outcome == Outcome::Ran);
     CHECK(target->report().slowdownFactor < 2);
 }
+
+TEST_CASE_METHOD(RepeatingBackendFixture, "TargetService.encodedAnswer.isDiscardedWithItsCause")
+{
+    // Guards against an answer that is reported as unsealed although its body was rejected for its encoding.
+    serve([](const std::string &id, RawAnswerServer::RequestPosition) { return answer("200 OK", id, "Seal: seal\r\nContent-Encoding: gzip\r\n", "x"); });
+    const ForwardResult result = run("r1");
+    CHECK(result.outcome == Outcome::Unknown);
+    CHECK(result.detail == "answer with a content encoding");
+}
+
+/** Backend server that answers a request late, and whose heartbeats have stopped. */
+struct SilentBackendFixture : RepeatingBackendFixture {
+    SilentBackendFixture()
+    {
+        backend.emplace(loop, [this](Tcp::socket &socket, HttpRequest message, RawAnswerServer::RequestPosition) -> Task<void> {
+            ++runCount;
+            asio::steady_timer timer(loop, 400ms);
+            ErrorCode ignored; // nothing cancels the timer
+            co_await timer.async_wait(redirectError(ignored));
+            co_await RawAnswerServer::write(socket, successAnswer(fieldValue(message, "Request-Id")));
+        });
+        createService(backend->address(), 100ms);
+    }
+
+    int runCount = 0;
+};
+
+TEST_CASE_METHOD(SilentBackendFixture, "TargetService.heartbeatsStopDuringARequest.requestIsNeitherAbandonedNorRunAgain")
+{
+    // Guards against running work that is given up or started again because its backend server is slow to report.
+    ForwardRequest forwardRequest = request();
+    forwardRequest.message.set("Request-Id", forwardRequest.requestId);
+    std::optional<ForwardResult> result;
+    asio::co_spawn(
+        loop, [&]() -> Task<void> { result = co_await target->run(forwardRequest, std::make_shared<Cancellation>()); }, asio::detached);
+    for (int i = 0; i < 15; ++i) {
+        runFor(20ms);
+        target->checkTimeouts();
+    }
+    CHECK(target->record().state == BackendState::Gone);
+    runFor(300ms);
+    REQUIRE(result.has_value());
+    CHECK(result->outcome == Outcome::Ran);
+    CHECK(result->response.body() == "of r1");
+    CHECK(runCount == 1);
+}
+
+TEST_CASE_METHOD(SilentBackendFixture, "TargetService.heartbeatsStopped.newRequestIsRefusedAsNotRun")
+{
+    runFor(120ms);
+    target->checkTimeouts();
+    CHECK(run("r2").reason == Reason::TargetDown);
+    CHECK(runCount == 0);
+}
