Send requests to free slots of the other region before asking full targets

Change: a target whose report is at most 1 s old and suggests a later answer than the aim, or then the deadline, is skipped; two attempts may go to free slots of other regions whatever was refused before. Measured: RequestRouter.ownRegionOverloaded, one hop in place of four.

--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -60,6 +60,7 @@
     std::set<std::string> excluded; /**< Ids of daemons that must not be selected. */
     TargetScope scope = TargetScope::Anywhere; /**< Targets to consider. */
     bool includesBackedOff = false; /**< Whether targets in their back-off period after failed calls are considered. */
+    std::optional<Duration> maxWait; /**< Targets are skipped if their last load report suggests a longer wait for a slot; empty for no limit. */
 };
 
 /** Directory of the VMs known to this daemon. Records are merged by incarnation and revision and may arrive in any order. Not thread-safe. */
@@ -68,6 +69,8 @@
 public:
     /** Age after which the slowdown in a load report is ignored, because it changes many times a second. */
     static constexpr Duration SlowdownExpiry = HostSlowdownDetector::ReadingExpiry;
+    /** Age after which a load report is no evidence of a long wait. */
+    static constexpr Duration LoadReportExpiry = std::chrono::seconds(1);
     /** Initial back-off period after failed calls; doubles with each further failure. */
     static constexpr Duration InitialBackoff = std::chrono::milliseconds(250);
     /** Maximum back-off period. */
@@ -147,6 +150,7 @@
 
 private:
     bool isEligible(const VmState &vm, const TargetQuery &query, TimePoint now) const;
+    static Duration expectedWait(const VmState &vm, const TargetQuery &query, TimePoint now);
     Duration predictedLatency(const VmState &vm, const TargetQuery &query, TimePoint now) const;
 
     std::string m_self;
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -149,6 +149,9 @@
     if (!acceptsRequests(vm, query) || (now < vm.backoffUntil && !query.includesBackedOff)) {
         return false;
     }
+    if (query.maxWait && expectedWait(vm, query, now) > *query.maxWait) {
+        return false;
+    }
     switch (query.scope) {
     case TargetScope::RegionWithFreeSlot:
         return isSameRegion(vm.record) && hasFreeSlot(vm, now);
@@ -162,6 +165,16 @@
     return true;
 }
 
+/** @return the wait for a slot that the last load report suggests; zero if the report is outdated */
+Duration VmDirectory::expectedWait(const VmState &vm, const TargetQuery &query, TimePoint now)
+{
+    const uint32_t outstanding = vm.report.running + vm.report.waiting + vm.sentSinceReport;
+    if (now - vm.reportedAt > LoadReportExpiry || outstanding < vm.report.limit || vm.report.limit == 0) {
+        return Duration::zero();
+    }
+    return scaled(query.serviceTime, (static_cast<double>(outstanding - vm.report.limit) + 0.5) / vm.report.limit);
+}
+
 Duration VmDirectory::predictedLatency(const VmState &vm, const TargetQuery &query, TimePoint now) const
 {
     const VmRecord &record = vm.record;
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -63,6 +63,7 @@
     std::set<std::string> daemonsTriedForQueueing; /**< Daemons to which the request was forwarded with permission to queue it. */
     uint32_t backendAttempts = 0; /**< Attempts that reached a backend server. */
     uint32_t hops = 0; /**< Number of times that the request was forwarded to a daemon. */
+    uint32_t otherRegionHops = 0; /**< Number of those to daemons of other regions. */
     Duration serviceTime = Duration::zero(); /**< Time that the latest backend server took. */
     bool mayHaveRun = false;
     Reason lastReason = Reason::NoTarget;
@@ -212,12 +213,12 @@
  * Chooses the best untried target of a scope. Targets that failed calls recently are considered only if there is no other target and the scope
  * does not require a free slot.
  */
-std::optional<std::string> RequestRouter::chooseInScope(RequestState &state, TargetScope scope, bool mayQueue, TimePoint now)
+std::optional<std::string> RequestRouter::chooseInScope(RequestState &state, TargetScope scope, bool mayQueue, TimePoint now, std::optional<Duration> maxWait)
 {
     const auto jitter = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_random);
     };
-    TargetQuery query { state.request.service, state.request.work, state.triedDaemons, scope, false };
+    TargetQuery query { state.request.service, state.request.work, state.triedDaemons, scope, false, maxWait };
     auto chosen = m_vmDirectory.selectTarget(query, now, jitter);
     if (!chosen && scope != TargetScope::RegionWithFreeSlot && scope != TargetScope::OtherRegionWithFreeSlot) {
         query.includesBackedOff = true;
@@ -230,11 +231,11 @@
 /** @return a target in this region that can queue the request and still answer it by @p answerDeadline, or empty */
 std::optional<std::string> RequestRouter::chooseForQueueing(RequestState &state, TimePoint answerDeadline, TimePoint now)
 {
-    if (auto untriedTarget = chooseInScope(state, TargetScope::Region, true, now)) {
+    Duration wait = answerDeadline - now - state.request.work;
+    if (auto untriedTarget = chooseInScope(state, TargetScope::Region, true, now, wait)) {
         return untriedTarget;
     }
     std::optional<std::string> bestDaemon;
-    Duration wait = answerDeadline - now - state.request.work;
     for (const auto &[daemon, predictedWait] : state.predictedWaitByDaemon) {
         if (state.daemonsTriedForQueueing.count(daemon) == 0 && predictedWait < wait) {
             bestDaemon = daemon;
@@ -245,13 +246,13 @@
 }
 
 /**
- * Chooses a target with a free slot in another region. Returns empty after MaxFreeSlotAttempts attempts: if that many targets were full, all
- * regions are probably overloaded, and further attempts would add traffic between regions, which is billed by volume.
+ * Chooses a target with a free slot in another region. Returns empty after MaxOtherRegionAttempts of them: if that many were full, that region
+ * is probably overloaded too.
  * @return a target that can answer by @p answerDeadline, or empty
  */
 std::optional<std::string> RequestRouter::chooseInOtherRegion(RequestState &state, TimePoint answerDeadline, TimePoint now)
 {
-    if (state.hops >= MaxFreeSlotAttempts || now + RegionRoundTrip + state.request.work >= answerDeadline) {
+    if (state.otherRegionHops >= MaxOtherRegionAttempts || now + RegionRoundTrip + state.request.work >= answerDeadline) {
         return std::nullopt;
     }
     return chooseInScope(state, TargetScope::OtherRegionWithFreeSlot, true, now);
@@ -343,6 +344,7 @@
             state.daemonsTriedForQueueing.insert(*daemon);
         }
         ++state.hops;
+        state.otherRegionHops += m_vmDirectory.isSameRegion(vm->record) ? 0 : 1;
         m_vmDirectory.onRequestSent(*daemon);
         ForwardResult result = co_await m_environment.forward(*daemon, state.request, cancellation);
         if (auto response = evaluateResult(state, *daemon, std::move(result))) {
--- a/src/request/requestrouter.h
+++ b/src/request/requestrouter.h
@@ -43,6 +43,8 @@
     static constexpr uint32_t MaxHops = 6;
     /** Maximum number of forwards to targets with an expected free slot, before the request is queued at a target. */
     static constexpr uint32_t MaxFreeSlotAttempts = 4;
+    /** Maximum number of forwards to another region, whose traffic is billed by volume. */
+    static constexpr uint32_t MaxOtherRegionAttempts = 2;
     /** Assumed round-trip time to another region. */
     static constexpr Duration RegionRoundTrip = std::chrono::milliseconds(70);
 
@@ -76,7 +78,8 @@
     Task<HttpResponse> forwardUntilAnswered(RequestState &state, CancellationPtr cancellation);
     static Duration shortestPredictedWait(const RequestState &state);
     std::optional<std::string> chooseTarget(RequestState &state, TimePoint now);
-    std::optional<std::string> chooseInScope(RequestState &state, TargetScope scope, bool mayQueue, TimePoint now);
+    std::optional<std::string>
+    chooseInScope(RequestState &state, TargetScope scope, bool mayQueue, TimePoint now, std::optional<Duration> maxWait = std::nullopt);
     std::optional<std::string> chooseInOtherRegion(RequestState &state, TimePoint answerDeadline, TimePoint now);
     std::optional<std::string> chooseForQueueing(RequestState &state, TimePoint answerDeadline, TimePoint now);
     std::optional<HttpResponse> evaluateResult(RequestState &state, const std::string &daemon, ForwardResult result);
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -173,3 +173,25 @@
     directory.onLoadReport("far", { 7, 0, 7, 1, false, false, {} }, clock.now());
     CHECK(selectTarget(TargetScope::Anywhere) == "near");
 }
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.reportOfALongQueue.isSkippedIfTheWaitIsLimited")
+{
+    // Guards against asking one overloaded target after the other, although their reports show that they would answer late.
+    reportLoad("near", 20);
+    reportLoad("next", 20);
+    TargetQuery query { "ordering", 100ms, {}, TargetScope::Region, false, 100ms };
+    CHECK_FALSE(directory.selectTarget(query, clock.now(), [] { return 0.0; }).has_value());
+    reportLoad("next", 9);
+    CHECK(directory.selectTarget(query, clock.now(), [] { return 0.0; }) == "next");
+    query.maxWait.reset();
+    CHECK(directory.selectTarget(query, clock.now(), [] { return 0.0; }).has_value());
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.outdatedReportOfALongQueue.isNoEvidence")
+{
+    reportLoad("near", 20);
+    reportLoad("next", 20);
+    clock.advance(1100ms);
+    const TargetQuery query { "ordering", 100ms, {}, TargetScope::Region, false, 100ms };
+    CHECK(directory.selectTarget(query, clock.now(), [] { return 0.0; }).has_value());
+}
--- a/tests/request/requestroutertest.cpp
+++ b/tests/request/requestroutertest.cpp
@@ -296,3 +296,52 @@
     CHECK(response.result_int() == 503);
     CHECK(fieldValue(response, "Retry-After") == "0.20");
 }
+
+/** Two regions: the targets of the caller's region have long queues, the one in the other region has free slots. */
+struct UnevenRegionsFixture : RequestRouterFixture {
+    UnevenRegionsFixture()
+    {
+        VmRecord remote = directory.find("vm-1")->record;
+        remote.daemon = "vm-4";
+        remote.dataCentre = "mid-a";
+        remote.region = "midwest";
+        remote.backend.id = "vm-4-backend";
+        directory.merge(remote);
+        for (const char *daemon : { "vm-1", "vm-2", "vm-3" }) {
+            reportQueue(daemon, 300);
+        }
+    }
+
+    void reportQueue(const std::string &daemon, uint32_t waiting)
+    {
+        TargetReport report;
+        report.running = 9;
+        report.waiting = waiting;
+        report.limit = 9;
+        directory.onLoadReport(daemon, report, SteadyClock().now());
+    }
+};
+
+TEST_CASE_METHOD(UnevenRegionsFixture, "RequestRouter.ownRegionOverloaded.usesAFreeSlotOfTheOtherRegion")
+{
+    // Guards against requests that are refused by every target of their region while the other region has free slots.
+    CHECK(call("/lookup/1").result_int() == 200);
+    CHECK(contactedDaemons == std::vector<std::string> { "vm-4" });
+}
+
+TEST_CASE_METHOD(UnevenRegionsFixture, "RequestRouter.bothRegionsOverloaded.refusesWithoutAskingAll")
+{
+    reportQueue("vm-4", 300);
+    for (int i = 0; i < 6; ++i) {
+        scriptedResults.push_back(ForwardResult::notRun(Reason::Full, 3s));
+    }
+    CHECK(call("/lookup/1").result_int() == 503);
+    CHECK(contactedDaemons.size() == 1);
+}
+
+TEST_CASE_METHOD(UnevenRegionsFixture, "RequestRouter.ownRegionWithAShortQueue.keepsTheRequest")
+{
+    reportQueue("vm-2", 1);
+    CHECK(call("/lookup/1").result_int() == 200);
+    CHECK(contactedDaemons == std::vector<std::string> { "vm-2" });
+}
