Queue no request at a target while the daemon stops

Change: during a stop, a request starts at a free slot or is refused as not run; the caller's next attempt goes to another VM. RequestRouter.requestDuringAStop shows the flag.

--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -343,6 +343,8 @@
         if (state.request.mayQueue) {
             state.daemonsTriedForQueueing.insert(*daemon);
         }
+        // A request that waits for a slot could start too late to be answered before the end of a stop.
+        state.request.mayQueue = state.request.mayQueue && m_environment.stopSchedule() == nullptr;
         ++state.hops;
         state.otherRegionHops += m_vmDirectory.isSameRegion(vm->record) ? 0 : 1;
         m_vmDirectory.onRequestSent(*daemon);
--- a/tests/request/requestroutertest.cpp
+++ b/tests/request/requestroutertest.cpp
@@ -345,3 +345,14 @@
     CHECK(call("/lookup/1").result_int() == 200);
     CHECK(contactedDaemons == std::vector<std::string> { "vm-2" });
 }
+
+TEST_CASE_METHOD(UnevenRegionsFixture, "RequestRouter.requestDuringAStop.isNotQueued")
+{
+    // Guards against a request that waits at a target during a stop, starts when little time is left, and is cut off.
+    reportQueue("vm-2", 1);
+    stopSchedule.emplace(SteadyClock().now(), 6s);
+    scriptedResults.push_back(ForwardResult::notRun(Reason::Full, 200ms));
+    call("/lookup/1");
+    CHECK(contactedDaemons.front() == "vm-2");
+    CHECK_FALSE(lastRequest.mayQueue);
+}
