Keep the caller's Host, a busy server's target, and a suspect's other targets

Change: Host is set only if the caller sent none; only a refused connection counts as a crash, a late one is not run for lack of room; a suspect-busy target is excluded and the next one is tried.

--- a/include/carobjunction/request/attemptplanner.h
+++ b/include/carobjunction/request/attemptplanner.h
@@ -167,6 +167,7 @@
         case Reason::PeerUnreachable:
         case Reason::Shed:
         case Reason::CallerShare:
+        case Reason::SuspectBusy:
             return true;
         default:
             return false;
--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -29,12 +29,14 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.path);
-    message.set(http::field::host, host);
     for (const auto &[name, value] : request.headers) {
         if (!isHopByHopHeader(name)) {
             message.insert(name, value);
         }
     }
+    if (!hasField(message, "Host")) {
+        message.set(http::field::host, host);
+    }
     const auto remainingMs = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
     message.set(headernames::DeadlineMs, std::to_string(std::max<int64_t>(remainingMs, 1)));
     message.set(headernames::RequestId, request.requestId);
@@ -102,7 +104,8 @@
     case ExchangeEnd::Answered:
         return toCallResult(exchange.response);
     case ExchangeEnd::NotSent:
-        return resultWithoutResponse(Outcome::NotRun, Reason::TargetDown);
+        // A backend server that does not accept the connection in time is busy, and no evidence of a crash.
+        return resultWithoutResponse(Outcome::NotRun, exchange.isConnectionRefused ? Reason::TargetDown : Reason::Full);
     case ExchangeEnd::TooLarge:
         return resultWithoutResponse(Outcome::Ran, Reason::AnswerTooLarge);
     case ExchangeEnd::TimedOut:
@@ -198,12 +201,12 @@
     }
     for (int attempt = 0; attempt < MaxConnectAttempts; ++attempt) {
         // Opens a new connection, because an idle one does not show whether the process still accepts connections.
-        const ExchangeEnd end = sendControlRequest(pool, http::verb::get, "/_carob/health", HealthTimeout).end;
-        if (end == ExchangeEnd::NotSent) {
+        const ExchangeResult result = sendControlRequest(pool, http::verb::get, "/_carob/health", HealthTimeout);
+        if (result.isConnectionRefused) {
             return false;
         }
         // A time-out means that the process is busy. A connection closed without a response may mean that the process is exiting, so check again.
-        if (end == ExchangeEnd::Answered || end == ExchangeEnd::TimedOut) {
+        if (result.end == ExchangeEnd::Answered || result.end == ExchangeEnd::TimedOut || result.end == ExchangeEnd::NotSent) {
             return true;
         }
         std::this_thread::sleep_for(ConnectRetryDelay);
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -95,7 +95,7 @@
     return nullptr;
 }
 
-Task<HttpClientPool::ConnectionPtr> HttpClientPool::connect(const ExchangeOptions &options, CancellationPtr cancellation, std::string &detail)
+Task<HttpClientPool::ConnectionPtr> HttpClientPool::connect(const ExchangeOptions &options, CancellationPtr cancellation, ExchangeResult &result)
 {
     auto connection = std::make_shared<Connection>(m_loop);
     const TimePoint limit = std::min(options.deadline, SteadyClock().now() + options.connectTimeout);
@@ -109,7 +109,8 @@
     }
     co_await connection->socket.async_connect(m_server, redirectError(error));
     if (error || !connection->socket.is_open()) {
-        detail = error ? error.message() : "connection attempt timed out";
+        result.detail = error ? error.message() : "connection attempt timed out";
+        result.isConnectionRefused = error == asio::error::connection_refused;
         co_return nullptr;
     }
     ++m_connectionsOpened;
@@ -192,7 +193,7 @@
     ExchangeResult result;
     ConnectionPtr connection = options.requiresNewConnection ? nullptr : acquireIdle(options.requestId);
     if (!connection) {
-        connection = co_await connect(options, cancellation, result.detail);
+        connection = co_await connect(options, cancellation, result);
     }
     if (!connection) {
         co_return result;
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -29,6 +29,7 @@
 struct ExchangeResult {
     ExchangeEnd end = ExchangeEnd::NotSent;
     HttpResponse response;
+    bool isConnectionRefused = false; /**< Whether nothing was sent because the server refused the connection, so that it does not run. */
     std::string detail; /**< Description of the last error of the connection; empty if there was none. */
 };
 
@@ -95,7 +96,7 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     ConnectionPtr acquireIdle(const std::string &requestId);
-    Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, std::string &detail);
+    Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, ExchangeResult &result);
     Task<ErrorCode>
     sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
     static Task<void> sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> isSent);
--- a/tests/connection/backendclienttest.cpp
+++ b/tests/connection/backendclienttest.cpp
@@ -125,3 +125,24 @@
     CHECK(result.reason == Reason::TargetDown);
     CHECK_FALSE(client.acceptsConnections());
 }
+
+TEST_CASE("BackendClient.serverThatAcceptsNoConnectionInTime.isNotTakenForCrashed")
+{
+    // Guards against running requests that are given up because their busy backend server is slow to accept another connection.
+    asio::io_context loop;
+    Tcp::acceptor acceptor(loop);
+    acceptor.open(Tcp::v4());
+    acceptor.bind(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    acceptor.listen(0);
+    std::vector<Tcp::socket> queuedSockets;
+    for (int i = 0; i < 4; ++i) {
+        queuedSockets.emplace_back(loop).async_connect(acceptor.local_endpoint(), [](ErrorCode) {});
+    }
+    loop.run_for(50ms);
+    BackendClient client(1U << 20U);
+    client.setAddress({ "127.0.0.1", acceptor.local_endpoint().port() });
+    const CallResult result = client.call(BackendClientFixture::request("POST", "/whole"));
+    CHECK(result.outcome == Outcome::NotRun);
+    CHECK(result.reason == Reason::Full);
+    CHECK(client.acceptsConnections());
+}
--- a/tests/connection/backendrawanswerstest.cpp
+++ b/tests/connection/backendrawanswerstest.cpp
@@ -45,6 +45,7 @@
 
     Task<void> answer(Tcp::socket &socket, HttpRequest request, RawAnswerServer::RequestPosition position)
     {
+        hostFieldCount = static_cast<int>(request.count(http::field::host));
         const std::string id = fieldValue(request, "Carob-Request-Id");
         const std::string bytes = answers ? answers(id, position.request) : part;
         co_await RawAnswerServer::write(socket, bytes);
@@ -60,12 +61,13 @@
         }
     }
 
-    CallResult call(const std::string &id)
+    CallResult call(const std::string &id, const HeaderList &headers = {})
     {
         CallRequest request;
         request.requestId = id;
         request.method = "GET";
         request.path = "/x";
+        request.headers = headers;
         request.deadline = Deadline::after(SteadyClock().now(), 2s);
         return client.call(request);
     }
@@ -82,6 +84,7 @@
         }
     }
 
+    std::atomic<int> hostFieldCount = 0; /**< Number of Host fields of the latest request. */
     std::string part; /**< Bytes after which the connection ends, unless `answers` is set. */
     ConnectionEnd ending = ConnectionEnd::Close;
     std::function<std::string(const std::string &id, int request)> answers; /**< Returns the bytes for a request, by its number on the connection. */
@@ -168,3 +171,15 @@
     CHECK(result.outcome == Outcome::Unknown);
     CHECK(result.body.empty());
 }
+
+TEST_CASE_METHOD(BackendRawAnswersFixture, "BackendClient.requestWithAHostField.isSentWithThatOneOnly")
+{
+    // Guards against a second Host field, for which a server must reject the request.
+    answers = [](const std::string &id, int) {
+        return answerTo(id, "x");
+    };
+    CHECK(call("r1").outcome == Outcome::Ran);
+    CHECK(hostFieldCount == 1);
+    CHECK(call("r2", { { "Host", "ordering.example" } }).outcome == Outcome::Ran);
+    CHECK(hostFieldCount == 1);
+}
--- a/tests/request/attemptplannertest.cpp
+++ b/tests/request/attemptplannertest.cpp
@@ -187,3 +187,21 @@
     REQUIRE(planner.unfinishedAttempts().size() == 1);
     CHECK(planner.unfinishedAttempts().front().number == first.number);
 }
+
+TEST_CASE_METHOD(AttemptPlannerFixture, "AttemptPlanner.suspectRefusedAsBusy.isTriedAtAnotherTarget")
+{
+    // Guards against a request that ends as unknown because another suspect already waits to run alone at the first target that it tries.
+    AttemptRules idempotentRules = rules();
+    idempotentRules.idempotent = true;
+    idempotentRules.maxRetries = 1;
+    AttemptPlanner<FakeEnvironment> planner(environment, idempotentRules);
+    CHECK(std::get<StartAttempt>(planner.nextStep(now)).target == "t0");
+    planner.onResult(0, makeResult(Outcome::Unknown, Reason::AnswerLost));
+    const auto retry = std::get<StartAttempt>(planner.nextStep(now));
+    CHECK(retry.target == "t1");
+    planner.onResult(retry.number, makeResult(Outcome::NotRun, Reason::SuspectBusy));
+    const PlanStep next = planner.nextStep(now);
+    REQUIRE(std::holds_alternative<StartAttempt>(next));
+    CHECK(std::get<StartAttempt>(next).target == "t2");
+    CHECK(std::get<StartAttempt>(next).isExclusive);
+}
