--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <sstream>
@@ -104,7 +105,7 @@
                                                                     { "listen.admin", loopback(machine.operatorPort) },
                                                                     { "platform.address", loopback(m_storePort) },
                                                                     { "heartbeat_ms", "1500" },
-                                                                    { "bounds.grace_s", "6" },
+                                                                    { "bounds.grace_s", machine.graceSeconds },
                                                                     { "bounds.retry_budget_ratio", "0.2" },
                                                                     { "bounds.budget_slack", "64" },
                                                                     { "bounds.budget_window_s", "10" },
@@ -136,6 +137,14 @@
     m_record.write("daemon " + machine.name + (machine.daemon ? ": starts" : ": cannot be started"));
 }
 
+void Deployment::changeGrace(Machine &machine, const std::string &graceSeconds)
+{
+    machine.graceSeconds = graceSeconds;
+    std::ofstream(machine.settingsPath) << renderSettings(machine);
+    m_record.write("daemon " + machine.name + ": its settings file now has grace_s = " + graceSeconds + "; SIGHUP");
+    ::kill(machine.daemon->pid(), SIGHUP);
+}
+
 void Deployment::killDaemon(Machine &machine)
 {
     m_record.write("daemon " + machine.name + ": SIGKILL");
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -25,6 +25,7 @@
     uint16_t readyPort = 0;
     uint16_t operatorPort = 0;
     std::string settingsPath;
+    std::string graceSeconds = "6"; /**< bounds.grace_s of the settings file, as the platform renders it. */
     std::unique_ptr<bench::ChildProcess> daemon;
     std::unique_ptr<Target> target;
 };
@@ -50,6 +51,9 @@
 
     void startDaemon(Machine &machine);
 
+    /** Changes bounds.grace_s in the settings file of the machine, and sends SIGHUP to its daemon. */
+    void changeGrace(Machine &machine, const std::string &graceSeconds);
+
     /** Ends the daemon like a crash. */
     void killDaemon(Machine &machine);
 
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -1,11 +1,8 @@
 #include "http.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <array>
-
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -146,22 +143,6 @@
     return parser.release();
 }
 
-void sendBytes(uint16_t port, const std::string &bytes, Milliseconds duration)
-{
-    const Clock::time_point end = Clock::now() + duration;
-    asio::io_context context;
-    Tcp::socket socket(context);
-    ErrorCode error;
-    socket.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), port), error);
-    if (!error) {
-        asio::write(socket, asio::buffer(bytes), error);
-    }
-    std::array<char, 4096> discarded {};
-    while (!error && waitForBytes(socket.native_handle(), end)) {
-        socket.read_some(asio::buffer(discarded), error);
-    }
-}
-
 std::string fieldOf(const http::fields &fields, const std::string &name)
 {
     const auto value = fields[name];
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -72,9 +72,6 @@
  */
 std::optional<Response> exchange(uint16_t port, Request request, Milliseconds timeout);
 
-/** Sends bytes on a new connection, without any framing of its own, and discards what arrives until @p duration has passed. */
-void sendBytes(uint16_t port, const std::string &bytes, Milliseconds duration);
-
 /** @return the value of a header field, or an empty string if it is absent */
 std::string fieldOf(const http::fields &fields, const std::string &name);
 
