--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -4,17 +4,19 @@
 #include <carobjunction/process/durations.h>
 #include <carobjunction/process/routefetchscheduler.h>
 #include <carobjunction/process/vmdirectory.h>
-#include <carobjunction/version/routetable.h>
 
 #include "connection/boundedjson.h"
 #include "connection/datagramport.h"
 #include "connection/detachedtask.h"
 #include "connection/endpoints.h"
 #include "connection/peerclients.h"
+#include "process/backoff.h"
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
 #include "process/metrics.h"
 #include "process/reportsender.h"
+#include "process/routefollower.h"
+#include "process/storereachability.h"
 #include "process/tablestore.h"
 #include "process/vmrecordcodec.h"
 #include "process/vmrows.h"
@@ -34,8 +36,8 @@
 /**
  * Synchronises the routes and the directory of VMs with the store and the peers, and publishes the record of this VM.
  *
- * The store holds the routes and one row for each VM, which is written only by the daemon of that VM. Each daemon watches the table of
- * the routes. Changed VM records are sent by datagram instead, because a watch would wake every daemon at every change. The VM table is
+ * The store holds the routes and one row for each VM, which is written only by the daemon of that VM. Each daemon follows the
+ * routes by a RouteFollower. Changed VM records are sent by datagram instead, because a watch would wake every daemon at every change. The VM table is
  * read at the start and then periodically, to recover updates of lost datagrams. Datagrams also carry load, crashes and version
  * numbers; a daemon with an older version fetches the state from a peer with a newer one. Versions only increase, so updates can be
  * applied from any source in any order.
@@ -58,15 +60,10 @@
     static constexpr Duration SecondReadDelay = std::chrono::seconds(2);
     /** Time without a report after which a VM that has no row in the VM table is removed from the directory. */
     static constexpr Duration MissingRowTimeout = std::chrono::seconds(10);
-    /** Maximum duration of one watch request to the store. Keep-alive probes detect a broken connection earlier. */
-    static constexpr Duration MaxWatchDuration = std::chrono::seconds(28);
     /** Delay of the first write of the record, unless the record changes earlier; the backend server's first heartbeat changes it. */
     static constexpr Duration FirstWriteDelay = std::chrono::seconds(3);
     /** Polling interval of waitUntilStored(). */
     static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
-    /** Upper bound of the delay before the first retry of a failed store call. It doubles with each failure, up to MaxBackoff. */
-    static constexpr Duration InitialBackoff = std::chrono::milliseconds(100);
-    static constexpr Duration MaxBackoff = std::chrono::milliseconds(1500);
     /** Delay before a record is fetched from a peer, because a later datagram usually delivers it. */
     static constexpr Duration RecordFetchDelay = std::chrono::milliseconds(500);
     /** Interval at which a daemon with outdated routes retries to select a peer to fetch them from. */
@@ -91,6 +88,8 @@
         , m_crashHistory(crashHistory)
         , m_metrics(metrics)
         , m_store(loop, parseEndpoint(settings.storeAddress).value())
+        , m_storeReachability(metrics)
+        , m_routeFollower(loop, m_store, m_storeReachability, metrics)
         , m_peerClients(loop, bodyBudget)
         , m_reportSender(loop, directory, metrics)
         , m_writeTimer(loop)
@@ -119,7 +118,7 @@
         if (!m_datagramPort) {
             EventLog::write(LogLevel::Error, Event::PortUnavailable, { { "address", m_settings.peerAddress + "/udp" }, { "detail", error.message() } });
         }
-        spawnSupervised(m_loop, "follow-routes", [this] { return followRoutes(); });
+        m_routeFollower.start([this] { m_reportSender.reportNow(); });
         spawnSupervised(m_loop, "refresh-vms", [this] { return refreshVms(); });
         spawnSupervised(m_loop, "write-record", [this] { return writeRecord(); });
         m_reportSender.start(m_datagramPort,
@@ -132,7 +131,7 @@
 
     std::shared_ptr<const RouteTable> routes() const
     {
-        return m_routes;
+        return m_routeFollower.routes();
     }
 
     PeerClients &peers()
@@ -172,7 +171,7 @@
     /** @return the JSON text of the requested part of the state, for a peer whose state is older */
     std::string encodeState(StatePart part) const
     {
-        nlohmann::json state { { "routes", part == StatePart::OwnRecord ? "" : m_routesText }, { "vms", nlohmann::json::array() } };
+        nlohmann::json state { { "routes", part == StatePart::OwnRecord ? "" : m_routeFollower.text() }, { "vms", nlohmann::json::array() } };
         for (const auto &[daemon, vm] : m_directory.all()) {
             if (part == StatePart::All || (part == StatePart::OwnRecord && m_directory.isSelf(daemon))) {
                 state["vms"].push_back(VmRecordCodec::encode(vm.record));
@@ -195,71 +194,6 @@
         co_await timer.async_wait(redirectError(ignored));
     }
 
-    /**
-     * Doubles @p limit, up to MaxBackoff.
-     * @return a random delay between half and all of the previous @p limit, so that daemons don't retry at the same time
-     */
-    Duration jitteredBackoff(Duration &limit)
-    {
-        const Duration wait = limit;
-        limit = std::min<Duration>(limit * 2, MaxBackoff);
-        return scaled(wait, std::uniform_real_distribution<double>(0.5, 1)(m_random));
-    }
-
-    void onStoreFailure(const std::string &table)
-    {
-        m_metrics.add(Counter::StoreFailures);
-        const std::string reason(nameOf(LastError<TableStoreError>::get()));
-        m_metrics.set(Gauge::StoreReachable, 0);
-        if (std::exchange(m_isStoreReachable, false)) {
-            EventLog::write(LogLevel::Warning, Event::StoreUnavailable, { { "table", table }, { "reason", reason } });
-        }
-    }
-
-    void onStoreResponse()
-    {
-        m_metrics.set(Gauge::StoreReachable, 1);
-        if (!std::exchange(m_isStoreReachable, true)) {
-            EventLog::write(LogLevel::Info, Event::StoreRecovered, {});
-        }
-    }
-
-    /** Reads the routes, then watches their table and applies each change. */
-    Task<void> followRoutes()
-    {
-        std::optional<uint64_t> version;
-        Duration backoffLimit = InitialBackoff;
-        while (true) {
-            std::optional<TableRows> rows;
-            if (version) {
-                rows = co_await m_store.watch(Platform::ConfigTable, *version, MaxWatchDuration);
-            } else {
-                rows = co_await m_store.scan(Platform::ConfigTable);
-            }
-            if (!rows) {
-                if (LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
-                    version.reset();
-                    continue;
-                }
-                onStoreFailure(Platform::ConfigTable);
-                co_await sleepFor(jitteredBackoff(backoffLimit));
-                continue;
-            }
-            onStoreResponse();
-            backoffLimit = InitialBackoff;
-            version = rows->version;
-            for (const TableRow &row : rows->rows) {
-                if (row.key == Platform::ConfigKey && row.isUnreadable) {
-                    EventLog::write(LogLevel::Error,
-                                    Event::ConfigRejected,
-                                    { { "source", "store" }, { "reason", "the row of the routes does not have the expected format" } });
-                } else if (row.key == Platform::ConfigKey && !row.isDeleted) {
-                    applyRoutes(row.value, "store");
-                }
-            }
-        }
-    }
-
     /**
      * Reads the VM table at the start, after the record of this VM is stored, and then periodically. If two daemons start at the same
      * time, the second read of the daemon that stores its record last finds the record of the first daemon, so that it can send its reports to
@@ -267,17 +201,17 @@
      */
     Task<void> refreshVms()
     {
-        Duration backoffLimit = InitialBackoff;
+        Backoff backoff;
         int reads = 0;
         while (true) {
             const auto rows = co_await m_store.scan(VmTableName);
             if (!rows) {
-                onStoreFailure(VmTableName);
-                co_await sleepFor(jitteredBackoff(backoffLimit));
+                m_storeReachability.onFailure(VmTableName);
+                co_await sleepFor(backoff.next());
                 continue;
             }
-            onStoreResponse();
-            backoffLimit = InitialBackoff;
+            m_storeReachability.onResponse();
+            backoff.reset();
             applyVmRows(*rows);
             if (++reads > 1) {
                 co_await sleepFor(withJitter(RefreshInterval));
@@ -433,25 +367,6 @@
         }
     }
 
-    /** Decodes routes and puts them into force if their version is newer than the current one. */
-    void applyRoutes(const std::string &text, const char *source)
-    {
-        const auto decoded = Platform::decodeRoutes(text);
-        if (!decoded.table) {
-            EventLog::write(LogLevel::Error, Event::ConfigRejected, { { "source", source }, { "reason", decoded.errorMessage } });
-            return;
-        }
-        if (m_routes && decoded.table->version() <= m_routes->version()) {
-            return;
-        }
-        m_routes = decoded.table;
-        m_routesText = text;
-        m_metrics.set(Gauge::ConfigVersion, m_routes->version());
-        EventLog::write(LogLevel::Info,
-                        Event::ConfigInForce,
-                        { { "version", std::to_string(m_routes->version()) }, { "routes", std::to_string(m_routes->routes().size()) }, { "source", source } });
-    }
-
     void onRecordChanged()
     {
         ++m_record.revision;
@@ -464,7 +379,7 @@
     /** Writes the record of this VM to the store whenever it changes, and retries until the write succeeds. */
     Task<void> writeRecord()
     {
-        Duration backoffLimit = InitialBackoff;
+        Backoff backoff;
         m_writeTimer.expires_after(FirstWriteDelay);
         m_isWriting = false; // a previous run of this task may have failed during a write
         ErrorCode firstWaitError; // ignored: a change of the record cancels the timer
@@ -482,19 +397,19 @@
             const auto result = co_await m_store.commit(ownRecordWrite());
             m_isWriting = false;
             if (result && result->isApplied) {
-                onStoreResponse();
+                m_storeReachability.onResponse();
                 m_rowVersion = std::max(m_rowVersion, result->version);
                 m_isRecordStored = true;
-                backoffLimit = InitialBackoff;
+                backoff.reset();
                 continue;
             }
             m_isWritePending = true;
             if (result) {
                 onWriteConflict(*result);
             } else {
-                onStoreFailure(VmTableName);
+                m_storeReachability.onFailure(VmTableName);
             }
-            co_await sleepFor(jitteredBackoff(backoffLimit));
+            co_await sleepFor(backoff.next());
         }
     }
 
@@ -532,7 +447,8 @@
         message.incarnation = m_record.incarnation;
         message.revision = m_record.revision;
         message.peerAddress = m_record.address;
-        message.configVersion = configVersion();
+        message.configVersion = m_routeFollower.version();
+        message.confirmationAge = m_routeFollower.confirmationAge();
         message.report = load;
         message.crashes = m_crashHistory.reportsSince(SteadyClock().now() - MaxCrashReportAge, MaxCrashReports);
         return message;
@@ -555,10 +471,13 @@
         for (const CrashReport &crash : message->crashes) {
             m_crashHistory.add(crash, now);
         }
+        if (message->confirmationAge) {
+            m_routeFollower.onPeerConfirmation(message->configVersion, *message->confirmationAge);
+        }
         if (lacksRecord(*message) && !std::exchange(m_isFetchingRecord, true)) {
             spawnDetached(m_loop, "fetch-record", fetchRecord(*message), [this] { m_isFetchingRecord = false; });
         }
-        if (message->configVersion > configVersion()) {
+        if (message->configVersion > m_routeFollower.version()) {
             const VmState *vm = m_directory.find(message->daemon);
             m_routeFetchScheduler.onNewerRoutesAdvertised(
                 { message->peerAddress, message->configVersion, vm != nullptr && m_directory.isSameRegion(vm->record) }, now);
@@ -568,11 +487,6 @@
         }
     }
 
-    uint64_t configVersion() const
-    {
-        return m_routes ? m_routes->version() : 0;
-    }
-
     /** @return whether the sender of @p message has a newer record of its VM than this daemon */
     bool lacksRecord(const GossipMessage &message) const
     {
@@ -598,7 +512,7 @@
     /** Fetches routes from peers as long as a peer has reported a newer version. */
     Task<void> fetchNewerRoutes()
     {
-        while (m_routeFetchScheduler.hasNewerRoutes(configVersion())) {
+        while (m_routeFetchScheduler.hasNewerRoutes(m_routeFollower.version())) {
             const auto address = m_routeFetchScheduler.source(SteadyClock().now());
             if (!address) {
                 co_await sleepFor(PeerSelectionRetryInterval);
@@ -636,7 +550,7 @@
         }
         const auto &routes = state->at("routes").template get_ref<const std::string &>();
         if (!routes.empty()) {
-            applyRoutes(routes, "peer");
+            m_routeFollower.apply(routes, "peer");
         }
     }
 
@@ -656,6 +570,8 @@
     CrashHistory &m_crashHistory;
     Metrics &m_metrics;
     TableStore<typename Platform::Dialect> m_store;
+    StoreReachability m_storeReachability;
+    RouteFollower<Platform> m_routeFollower;
     PeerClients m_peerClients;
     std::shared_ptr<DatagramPort> m_datagramPort;
     std::function<void(const BackendRecord *)> m_restoreBackend;
@@ -668,9 +584,6 @@
     bool m_isFetchingRecord = false;
     bool m_isFetchingRoutes = false;
     RouteFetchScheduler m_routeFetchScheduler;
-    bool m_isStoreReachable = true;
-    std::shared_ptr<const RouteTable> m_routes;
-    std::string m_routesText;
     ReportSender m_reportSender;
     asio::steady_timer m_writeTimer;
     std::minstd_rand m_random { std::random_device {}() };
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -62,6 +62,7 @@
     LeaseAcquired = 6007,
     LeaseLost = 6008,
     FencedWriteRefused = 6009,
+    WatchAbandoned = 6010,
 };
 
 template<>
@@ -116,6 +117,7 @@
         { Event::LeaseAcquired, "lease-acquired" },
         { Event::LeaseLost, "lease-lost" },
         { Event::FencedWriteRefused, "fenced-write-refused" },
+        { Event::WatchAbandoned, "watch-abandoned" },
     };
 };
 
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -2,6 +2,8 @@
 
 #include "process/vmrecordcodec.h"
 
+#include <carobjunction/process/durations.h>
+
 #include "connection/boundedjson.h"
 #include "connection/endpoints.h"
 
@@ -17,6 +19,7 @@
 using boundedjson::Json;
 
 constexpr double Percent = 100;
+constexpr size_t ConfirmationAgeIndex = 9; // optional last element, in milliseconds
 constexpr JsonLimits DatagramLimits { 65'536, 4 }; // a valid message has three levels of nested arrays, one fewer than the limit
 
 uint32_t toPercent(double value)
@@ -66,6 +69,9 @@
     if (const auto &text = json.at(8).get_ref<const std::string &>(); !text.empty()) {
         message.record = VmRecordCodec::decode(text);
     }
+    if (json.size() > ConfirmationAgeIndex) {
+        message.confirmationAge = std::chrono::milliseconds(boundedjson::unsignedInteger32(json.at(ConfirmationAgeIndex)));
+    }
     // The address is optional. A message without one reports only load, since there is no address to fetch the state from.
     if (message.daemon.empty() || !(message.peerAddress.empty() || isConnectableAddress(message.peerAddress))) {
         throw MessageParseError("gossip message names no daemon, or its peer address is not an ip:port that can be connected to");
@@ -82,15 +88,18 @@
     for (const CrashReport &crash : crashes) {
         crashList.push_back({ crash.fingerprint, crash.backend });
     }
-    const Json message { daemon,
-                         incarnation,
-                         revision,
-                         peerAddress,
-                         configVersion,
-                         { report.running, report.waiting, report.limit, toPercent(report.slowdownFactor), report.cold, report.isTemporarilySlow },
-                         std::move(crashList),
-                         { toJson(report.slots.upper), toJson(report.slots.lower) },
-                         record ? VmRecordCodec::encode(*record) : "" };
+    Json message { daemon,
+                   incarnation,
+                   revision,
+                   peerAddress,
+                   configVersion,
+                   { report.running, report.waiting, report.limit, toPercent(report.slowdownFactor), report.cold, report.isTemporarilySlow },
+                   std::move(crashList),
+                   { toJson(report.slots.upper), toJson(report.slots.lower) },
+                   record ? VmRecordCodec::encode(*record) : "" };
+    if (confirmationAge) {
+        message.push_back(toMs(*confirmationAge));
+    }
     const std::vector<uint8_t> bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/process/gossipmessage.h
+++ b/src/process/gossipmessage.h
@@ -18,6 +18,8 @@
     uint64_t revision = 0; /**< Revision of the sender's VM record. */
     std::string peerAddress;
     uint64_t configVersion = 0; /**< Version of the routes in force at the sender; 0 if it has none. */
+    /** Age of the last confirmation that these routes are the newest; empty if there is none, or if an older daemon sent the message. */
+    std::optional<Duration> confirmationAge;
     TargetReport report;
     std::vector<CrashReport> crashes; /**< Recent crashes. Each is included in several messages, because datagrams may be lost. */
     std::optional<VmRecord> record; /**< VM record of the sender, if it has just changed. */
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -37,6 +37,8 @@
     AnswersUndelivered,
     StoreFailures,
     BodiesWithoutRoom,
+    RouteChecks, /**< Checks whether the store has newer routes, because nothing confirmed those in force. */
+    WatchesAbandoned,
     Count, /**< Number of counters. */
 };
 
@@ -64,6 +66,8 @@
         { Counter::AnswersUndelivered, "carobjunction_answers_undelivered_total" },
         { Counter::StoreFailures, "carobjunction_store_failures_total" },
         { Counter::BodiesWithoutRoom, "carobjunction_bodies_without_room_total" },
+        { Counter::RouteChecks, "carobjunction_route_checks_total" },
+        { Counter::WatchesAbandoned, "carobjunction_watches_abandoned_total" },
     };
 };
 
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -95,9 +95,12 @@
     /** Time limit of a call, in addition to the time for which watch() waits for changes. */
     static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
     static constexpr Duration ConnectTimeout = std::chrono::milliseconds(700);
+    /** Time after which an idle connection is not used again. Without traffic, a connection that delivers nothing any more is not noticed. */
+    static constexpr Duration IdleTimeout = std::chrono::seconds(3);
+    static constexpr size_t MaxIdleConnections = 4;
 
     TableStore(asio::io_context &loop, const Tcp::endpoint &address)
-        : m_connectionPool(std::make_shared<HttpClientPool>(loop, address, PoolLimits { 4, std::chrono::seconds(10) }))
+        : m_connectionPool(std::make_shared<HttpClientPool>(loop, address, PoolLimits { MaxIdleConnections, IdleTimeout }))
     {
     }
 
@@ -129,11 +132,12 @@
      * Waits for changes of a table that are newer than a version.
      * @param afterVersion  version whose later changes are returned
      * @param wait  maximum time to wait for a change
+     * @param cancellation  ends the call and closes its connection; null if the call is not cancelled
      * @return the changes, possibly none
      */
-    Task<std::optional<TableRows>> watch(std::string table, uint64_t afterVersion, Duration wait)
+    Task<std::optional<TableRows>> watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr)
     {
-        co_return parseRowsResponse(co_await sendRequest(Dialect::watch(table, afterVersion, wait), wait + CallTimeout));
+        co_return parseRowsResponse(co_await sendRequest(Dialect::watch(table, afterVersion, wait), wait + CallTimeout, std::move(cancellation)));
     }
 
     /** Applies a change if all its conditions hold. */
@@ -168,15 +172,21 @@
         return LastError<TableStoreError>::fail(TableStoreError::Malformed);
     }
 
-    Task<std::optional<HttpResponse>> sendRequest(HttpRequest request, Duration timeout)
+    Task<std::optional<HttpResponse>> sendRequest(HttpRequest request, Duration timeout, CancellationPtr cancellation = nullptr)
     {
+        if (!cancellation) {
+            cancellation = std::make_shared<Cancellation>();
+        }
         ExchangeOptions options;
         options.deadline = SteadyClock().now() + timeout;
         options.connectTimeout = ConnectTimeout;
-        ExchangeResult result = co_await m_connectionPool->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
+        ExchangeResult result = co_await m_connectionPool->exchange(std::move(request), std::move(options), std::move(cancellation));
         if (result.end == ExchangeEnd::NotSent) {
             co_return LastError<TableStoreError>::fail(TableStoreError::Unreachable);
         }
+        if (result.end == ExchangeEnd::TimedOut) {
+            m_connectionPool->closeIdle(); // they may have stopped delivering as well
+        }
         if (result.end != ExchangeEnd::Answered) {
             co_return LastError<TableStoreError>::fail(TableStoreError::AnswerLost);
         }
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -294,6 +294,19 @@
     CHECK(waitFor([&] { return vms[0].daemon->waitForExit(1ms); }, 1500ms));
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.watchLostWithoutAReset.newVersionIsInForceInTime")
+{
+    // Guards against daemons that wait for a watch whose response was lost, while the store answers all other calls.
+    REQUIRE(waitForLookups());
+    store.isSilent = true;
+    runFor(50ms);
+    store.isSilent = false;
+    store.put("op", "config", publishedConfig(5, { { "/added/", "idempotent", "ordering" } }));
+    runFor(2500ms);
+    CHECK(sendToFirstVm(http::verb::get, "/added/1").result_int() == 200);
+    CHECK(send(vms[1].caller, request(http::verb::get, "/added/1")).result_int() == 200);
+}
+
 TEST_CASE("PlatformDaemon.invalidSettings.abortTheStart")
 {
     const std::string path = std::string(CAROBJUNCTION_BINARY_DIR) + "/platform-test-" + std::to_string(getpid()) + "-faulty.yaml";
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -98,7 +98,25 @@
     return text;
 }
 
+Task<void> StandInTableStore::waitForever()
+{
+    asio::steady_timer timer(m_loop, TimePoint::max());
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 Task<MaybeResponse> StandInTableStore::handle(HttpRequest request)
+{
+    if (isSilent) {
+        co_await waitForever();
+    }
+    auto response = co_await answer(std::move(request));
+    if (isSilent) {
+        co_await waitForever();
+    }
+    co_return response;
+}
+
+Task<MaybeResponse> StandInTableStore::answer(HttpRequest request)
 {
     const std::string target(request.target().data(), request.target().size());
     if (delay > Duration::zero()) {
@@ -146,6 +164,9 @@
     const TimePoint end = SteadyClock().now() + std::chrono::milliseconds(std::stoull(queryParameter(target, "wait_ms")));
     asio::steady_timer timer(m_loop);
     while (SteadyClock().now() < end && !isDown) {
+        if (isSilent) {
+            co_await waitForever();
+        }
         if (after < m_oldestRetainedVersion) {
             co_return textResponse(http::status::gone, "history lost");
         }
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -36,6 +36,7 @@
     bool isDown = false; /**< Responds to all requests with 503. */
     Duration delay = Duration::zero(); /**< Delay before each request is processed. */
     std::vector<nlohmann::json> malformedRows; /**< Rows of another writer, appended unchanged to each table that is read. */
+    bool isSilent = false; /**< Calls that arrive or are in progress get no response, also after this ends; their connections stay open. */
     bool dropsWriteResponses = false; /**< Applies writes, but closes the connection without a response. */
 
 private:
@@ -46,6 +47,8 @@
     using Key = std::pair<std::string, std::string>;
 
     Task<MaybeResponse> handle(HttpRequest request);
+    Task<MaybeResponse> answer(HttpRequest request);
+    Task<void> waitForever();
     Task<HttpResponse> feed(std::string target);
     HttpResponse get(const std::string &target) const;
     MaybeResponse transact(const HttpRequest &request);
