--- a/include/carobjunction/process/backendgate.h
+++ b/include/carobjunction/process/backendgate.h
@@ -62,7 +62,8 @@
     bool onLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs);
 
     /**
-     * Restores the leaving state of the backend server after a restart of the daemon. Has no effect unless @p persisted is leaving.
+     * Restores the leaving state of the backend server after a restart of the daemon. A record that is not leaving does not open the gate, but a
+     * leave notice of its process, which may have been received before or may follow, applies to it.
      * @param persisted  record of the backend server from before the restart
      * @return whether the record changed
      */
@@ -102,11 +103,12 @@
     };
 
     bool isStale(const Heartbeat &heartbeat) const;
-    bool hasLeft(const Heartbeat &heartbeat, TimePoint now) const;
+    bool hasLeft(const std::string &id, uint64_t startedAtMs, TimePoint now) const;
     void recordLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs);
 
     Duration m_heartbeatTimeout;
     BackendRecord m_record;
+    BackendRecord m_formerRecord; /**< Record from before a restart of the daemon, until a heartbeat is received. */
     uint64_t m_lastSequence = 0;
     bool m_isLeaving = false;
     std::map<std::string, LeaveNotice> m_leaveNotices; /**< By id of the backend server. */
--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -29,6 +29,7 @@
 /** State of a VM as known to this daemon: its record, its last load report and the results of calls to it. */
 struct VmState {
     VmRecord record;
+    BackendRecord leftBackend; /**< Last backend server of this VM that has announced that it is leaving; without an id if there is none. */
     TargetReport report;
     TimePoint reportedAt; /**< Time at which the last load report was received. */
     uint32_t sentSinceReport = 0; /**< Number of requests sent since the last load report. */
@@ -36,6 +37,9 @@
     TimePoint backoffUntil; /**< End of the back-off period, during which requests are sent to the target only if no other target is available. */
     uint32_t consecutiveFailures = 0; /**< Number of consecutive failed calls. */
     double failureShare = 0; /**< Smoothed share of failed calls, from 0 to 1. */
+
+    /** @return the record, with the leave of the last backend server unless another one has taken its place */
+    VmRecord recordWithLeave() const;
 };
 
 /** Data centre and region in which a daemon runs. Targets in the same locality are preferred. */
@@ -87,7 +91,10 @@
     {
     }
 
-    /** Stores a record of any daemon if it is newer than the current one. @return whether the record was stored */
+    /**
+     * Stores a record of any daemon if it is newer than the current one. A backend server that has announced its leave stays leaving: its daemon may
+     * have been restarted and have lost the leave. @return whether the record was stored
+     */
     bool merge(const VmRecord &record);
 
     /** Removes a VM, unless its record has a later incarnation. @return whether the VM was removed */
--- a/src/connection/peerclients.cpp
+++ b/src/connection/peerclients.cpp
@@ -58,7 +58,7 @@
     co_return ForwardResult::unknown(Reason::AnswerLost, "malformed response from the peer");
 }
 
-Task<std::optional<std::string>> PeerClients::fetchState(std::string address, StatePart part)
+Task<std::optional<std::string>> PeerClients::fetchState(std::string address, StatePart part, std::string daemon)
 {
     const auto connections = pool(address);
     if (!connections) {
@@ -71,6 +71,9 @@
     };
     HttpRequest request(http::verb::get, std::string(nameOf(part)), 11);
     request.set(http::field::host, "peer");
+    if (!daemon.empty()) {
+        request.set(PeerCodec::DaemonField, daemon);
+    }
     ExchangeResult exchange = co_await connections->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
     if (exchange.end != ExchangeEnd::Answered || exchange.response.result() != http::status::ok) {
         co_return std::nullopt;
--- a/src/connection/peerclients.h
+++ b/src/connection/peerclients.h
@@ -24,8 +24,12 @@
     /** Forwards a request to the daemon on the VM of a target and waits for the result. */
     Task<ForwardResult> forward(std::string address, bool isSameRegion, ForwardRequest request, CancellationPtr cancellation);
 
-    /** Queries part of the state of a daemon. @return the encoded state, or empty if the daemon did not respond in time or responded with an error */
-    Task<std::optional<std::string>> fetchState(std::string address, StatePart part);
+    /**
+     * Queries part of the state of a daemon.
+     * @param daemon  daemon whose record is queried, for StatePart::HeldRecord
+     * @return the encoded state, or empty if the daemon did not respond in time or responded with an error
+     */
+    Task<std::optional<std::string>> fetchState(std::string address, StatePart part, std::string daemon = "");
 
     /** Closes the idle connections to a daemon that has left the cluster, and removes its pool. */
     void closeConnections(const std::string &address);
--- a/src/connection/peercodec.h
+++ b/src/connection/peercodec.h
@@ -14,6 +14,7 @@
     All, /**< Routes and all VM records. */
     Routes,
     OwnRecord, /**< The record of the VM of the queried daemon. */
+    HeldRecord, /**< The record of the VM that PeerCodec::DaemonField names, as the queried daemon holds it. */
 };
 
 /** Request paths of the state queries between daemons. */
@@ -23,6 +24,7 @@
         { StatePart::All, "/carobjunction/state" },
         { StatePart::Routes, "/carobjunction/routes" },
         { StatePart::OwnRecord, "/carobjunction/record" },
+        { StatePart::HeldRecord, "/carobjunction/held-record" },
     };
 };
 
@@ -38,6 +40,9 @@
     /** Header field of the response to a forwarded request. */
     static constexpr const char *ResultField = "Carob-Result";
 
+    /** Header field of a query for StatePart::HeldRecord: the daemon whose record is queried. */
+    static constexpr const char *DaemonField = "Carob-Daemon";
+
     static HttpRequest encode(ForwardRequest request, TimePoint now);
 
     /** @return the request, or empty if the header field is absent or malformed */
--- a/src/process/backendgate.cpp
+++ b/src/process/backendgate.cpp
@@ -13,10 +13,10 @@
     return heartbeat.id == m_record.id && heartbeat.sequence <= m_lastSequence;
 }
 
-bool BackendGate::hasLeft(const Heartbeat &heartbeat, TimePoint now) const
+bool BackendGate::hasLeft(const std::string &id, uint64_t startedAtMs, TimePoint now) const
 {
-    const auto found = m_leaveNotices.find(heartbeat.id);
-    return found != m_leaveNotices.end() && heartbeat.startedAtMs <= found->second.unixTimeMs && now - found->second.receivedAt < LeaveNoticeRetention;
+    const auto found = m_leaveNotices.find(id);
+    return found != m_leaveNotices.end() && startedAtMs <= found->second.unixTimeMs && now - found->second.receivedAt < LeaveNoticeRetention;
 }
 
 void BackendGate::recordLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs)
@@ -35,7 +35,7 @@
     if (!isSameProcess) {
         m_isLeaving = false;
     }
-    m_isLeaving = m_isLeaving || heartbeat.draining || hasLeft(heartbeat, now);
+    m_isLeaving = m_isLeaving || heartbeat.draining || hasLeft(heartbeat.id, heartbeat.startedAtMs, now);
     m_lastSequence = heartbeat.sequence;
     m_lastHeartbeatAt = now;
     m_coldUntil = now + heartbeat.coldRemaining;
@@ -51,12 +51,15 @@
 
 bool BackendGate::onLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs)
 {
+    if (m_record.id.empty() && m_formerRecord.id == id) {
+        m_record = m_formerRecord;
+    }
     if (m_record.id != id) {
         recordLeave(id, now, unixTimeMs);
         return false;
     }
     m_isLeaving = true;
-    const bool hasChanged = m_record.state != BackendState::Gone;
+    const bool hasChanged = m_record.state != BackendState::Gone || !m_record.isLeaving;
     m_record.state = BackendState::Gone;
     m_record.isLeaving = true;
     return hasChanged;
@@ -64,7 +67,9 @@
 
 bool BackendGate::restoreRecord(const BackendRecord &persisted, TimePoint now)
 {
-    if (!persisted.isLeaving) {
+    const bool isLeaving = persisted.isLeaving || hasLeft(persisted.id, persisted.startedAtMs, now);
+    if (!isLeaving) {
+        m_formerRecord = persisted;
         return false;
     }
     const bool isSame = m_record.id == persisted.id && m_record.startedAtMs == persisted.startedAtMs;
@@ -74,6 +79,7 @@
     }
     m_record = persisted;
     m_record.state = BackendState::Gone;
+    m_record.isLeaving = true;
     return !std::exchange(m_isLeaving, true);
 }
 
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -5,7 +5,6 @@
 #include <carobjunction/process/routefetchscheduler.h>
 #include <carobjunction/process/vmdirectory.h>
 
-#include "connection/boundedjson.h"
 #include "connection/datagramport.h"
 #include "connection/detachedtask.h"
 #include "connection/endpoints.h"
@@ -14,16 +13,15 @@
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
 #include "process/metrics.h"
+#include "process/ownrecord.h"
+#include "process/peerstate.h"
 #include "process/reportsender.h"
 #include "process/routefollower.h"
 #include "process/storereachability.h"
 #include "process/tablestore.h"
-#include "process/vmrecordcodec.h"
 #include "process/vmrows.h"
 #include "process/vmsettings.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -36,18 +34,15 @@
 /**
  * Synchronises the routes and the directory of VMs with the store and the peers, and publishes the record of this VM.
  *
- * The store holds the routes and one row for each VM, which is written only by the daemon of that VM. Each daemon follows the
- * routes by a RouteFollower. Changed VM records are sent by datagram instead, because a watch would wake every daemon at every change. The VM table is
- * read at the start and then periodically, to recover updates of lost datagrams. Datagrams also carry load, crashes and version
- * numbers; a daemon with an older version fetches the state from a peer with a newer one. Versions only increase, so updates can be
- * applied from any source in any order.
+ * The store holds the routes, which a RouteFollower follows, and one row for each VM, which is written only by the OwnRecord of that VM.
+ * Changed VM records are sent by datagram, because a watch would wake every daemon at every change. The VM table is read at the start and
+ * then periodically, to recover updates of lost datagrams. Datagrams also carry load, crashes and version numbers; a daemon with an older
+ * version fetches the state from a peer with a newer one. Versions only increase, so updates can be applied from any source in any order.
  */
 template<typename Platform>
 class ClusterSync
 {
 public:
-    /** Name of the table that holds the VM records. */
-    static constexpr const char *VmTableName = "carobjunction-vms";
     /**
      * Mean interval between two reads of the VM table. Each interval is varied by 25 % so that daemons don't read at the same time. The
      * interval is long because changes arrive from datagrams and peers, and each call to the store is billed.
@@ -60,10 +55,6 @@
     static constexpr Duration SecondReadDelay = std::chrono::seconds(2);
     /** Time without a report after which a VM that has no row in the VM table is removed from the directory. */
     static constexpr Duration MissingRowTimeout = std::chrono::seconds(10);
-    /** Delay of the first write of the record, unless the record changes earlier; the backend server's first heartbeat changes it. */
-    static constexpr Duration FirstWriteDelay = std::chrono::seconds(3);
-    /** Polling interval of waitUntilStored(). */
-    static constexpr Duration StoredCheckInterval = std::chrono::milliseconds(5);
     /** Delay before a record is fetched from a peer, because a later datagram usually delivers it. */
     static constexpr Duration RecordFetchDelay = std::chrono::milliseconds(500);
     /** Interval at which a daemon with outdated routes retries to select a peer to fetch them from. */
@@ -71,10 +62,6 @@
     /** Age up to which a crash is included in each report, because datagrams may be lost. */
     static constexpr Duration MaxCrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
-    /** Largest assumed step back of this VM's clock, in milliseconds, since the start of a backend server of a previous daemon run. */
-    static constexpr uint64_t MaxClockSetbackMs = uint64_t { 24 } * 3'600'000;
-    /** Size and depth limits of the state fetched from a peer. They allow far more VMs than the largest supported system has. */
-    static constexpr JsonLimits PeerStateLimits { size_t { 64 } << 20U, 4 };
 
     ClusterSync(asio::io_context &loop,
                 const VmSettings &settings,
@@ -91,16 +78,9 @@
         , m_storeReachability(metrics)
         , m_routeFollower(loop, m_store, m_storeReachability, metrics)
         , m_peerClients(loop, bodyBudget)
+        , m_ownRecord(loop, settings, directory, m_store, m_storeReachability, m_peerClients)
         , m_reportSender(loop, directory, metrics)
-        , m_writeTimer(loop)
     {
-        m_record.daemon = settings.daemon;
-        m_record.incarnation = unixTimeMs();
-        m_record.revision = 1;
-        m_record.address = settings.announcedAddress.empty() ? settings.peerAddress : settings.announcedAddress;
-        m_record.dataCentre = settings.dataCentre;
-        m_record.region = settings.region;
-        m_directory.merge(m_record);
     }
 
     /**
@@ -110,7 +90,6 @@
      */
     void start(std::function<TargetReport()> report, std::function<void(const BackendRecord *)> restoreBackend)
     {
-        m_restoreBackend = std::move(restoreBackend);
         const Tcp::endpoint address = parseEndpoint(m_settings.peerAddress).value();
         ErrorCode error;
         m_datagramPort = DatagramPort::open(
@@ -120,12 +99,12 @@
         }
         m_routeFollower.start([this] { m_reportSender.reportNow(); });
         spawnSupervised(m_loop, "refresh-vms", [this] { return refreshVms(); });
-        spawnSupervised(m_loop, "write-record", [this] { return writeRecord(); });
+        m_ownRecord.start({ [this] { m_reportSender.announceRecord(); }, std::move(restoreBackend) });
         m_reportSender.start(m_datagramPort,
                              { std::move(report),
                                [this](const TargetReport &load) { return message(load); },
                                [this]() -> const VmRecord & {
-                                   return m_record;
+                                   return m_ownRecord.record();
                                } });
     }
 
@@ -142,24 +121,19 @@
     /** Sets the state of this VM's backend server in the VM's record and publishes the record. */
     void setBackend(const BackendRecord &backend)
     {
-        m_record.backend = backend;
-        onRecordChanged();
+        m_ownRecord.setBackend(backend);
     }
 
     /** Publishes that this daemon is stopping. */
     void announceStop()
     {
-        m_record.stopping = true;
-        onRecordChanged();
+        m_ownRecord.announceStop();
     }
 
-    /** Waits until the current record of this VM is stored, for @p limit at most. */
-    Task<void> waitUntilStored(Duration limit)
+    /** @return the record of this VM */
+    OwnRecord<typename Platform::Dialect> &ownRecord()
     {
-        const TimePoint end = SteadyClock().now() + limit;
-        while ((m_isWritePending || m_isWriting) && SteadyClock().now() < end) {
-            co_await sleepFor(StoredCheckInterval);
-        }
+        return m_ownRecord;
     }
 
     /** Sends a report to all daemons immediately, without waiting for the next interval. */
@@ -168,25 +142,26 @@
         m_reportSender.reportNow();
     }
 
-    /** @return the JSON text of the requested part of the state, for a peer whose state is older */
-    std::string encodeState(StatePart part) const
-    {
-        nlohmann::json state { { "routes", part == StatePart::OwnRecord ? "" : m_routeFollower.text() }, { "vms", nlohmann::json::array() } };
-        for (const auto &[daemon, vm] : m_directory.all()) {
-            if (part == StatePart::All || (part == StatePart::OwnRecord && m_directory.isSelf(daemon))) {
-                state["vms"].push_back(VmRecordCodec::encode(vm.record));
+    /**
+     * @param daemon  daemon whose record is queried, for StatePart::HeldRecord
+     * @return the JSON text of the requested part of the state
+     */
+    std::string encodeState(StatePart part, const std::string &daemon) const
+    {
+        PeerState state;
+        const bool hasRoutes = part == StatePart::All || part == StatePart::Routes;
+        state.routes = hasRoutes ? m_routeFollower.text() : "";
+        for (const auto &[name, vm] : m_directory.all()) {
+            const bool isQueried
+                = part == StatePart::All || (part == StatePart::OwnRecord && m_directory.isSelf(name)) || (part == StatePart::HeldRecord && name == daemon);
+            if (isQueried) {
+                state.records.push_back(part == StatePart::HeldRecord ? vm.recordWithLeave() : vm.record);
             }
         }
-        return state.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+        return state.encode();
     }
 
 private:
-    static uint64_t unixTimeMs()
-    {
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-    }
-
     Task<void> sleepFor(Duration time)
     {
         asio::steady_timer timer(m_loop, time);
@@ -204,9 +179,9 @@
         Backoff backoff;
         int reads = 0;
         while (true) {
-            const auto rows = co_await m_store.scan(VmTableName);
+            const auto rows = co_await m_store.scan(OwnRecord<typename Platform::Dialect>::TableName);
             if (!rows) {
-                m_storeReachability.onFailure(VmTableName);
+                m_storeReachability.onFailure(OwnRecord<typename Platform::Dialect>::TableName);
                 co_await sleepFor(backoff.next());
                 continue;
             }
@@ -220,7 +195,7 @@
             m_reportSender.announceRecord();
             do {
                 co_await sleepFor(SecondReadDelay);
-            } while (!m_isRecordStored);
+            } while (!m_ownRecord.isStored());
         }
     }
 
@@ -236,7 +211,7 @@
         const VmRows read = readVmRows(rows);
         std::set<std::string> daemonsWithRow(read.unreadable.begin(), read.unreadable.end());
         logUnreadableRows(read);
-        if (daemonsWithRow.count(m_record.daemon) != 0) {
+        if (daemonsWithRow.count(m_ownRecord.record().daemon) != 0) {
             replaceUnreadableOwnRow(rows);
         }
         for (const VmRow &row : read.rows) {
@@ -245,8 +220,8 @@
                 applyVmRow(row);
             }
         }
-        if (daemonsWithRow.count(m_record.daemon) == 0) {
-            m_restoreBackend(nullptr);
+        if (daemonsWithRow.count(m_ownRecord.record().daemon) == 0) {
+            m_ownRecord.onRowMissing();
         }
         const TimePoint now = SteadyClock().now();
         std::vector<VmRecord> expired;
@@ -258,6 +233,7 @@
         for (const VmRecord &record : expired) {
             removeVm(record.daemon, record.incarnation, "no row in the VM table and no recent report of its daemon");
         }
+        m_ownRecord.recover();
     }
 
     /** Logs an unreadable row only when it first appears, because it stays in the table until its writer replaces it. */
@@ -267,7 +243,9 @@
             if (m_unreadableKeys.count(read.unreadable[i]) == 0) {
                 EventLog::write(LogLevel::Warning,
                                 Event::ConfigRejected,
-                                { { "table", VmTableName }, { "key", read.unreadable[i] }, { "reason", "unreadable row: " + read.errors[i] } });
+                                { { "table", OwnRecord<typename Platform::Dialect>::TableName },
+                                  { "key", read.unreadable[i] },
+                                  { "reason", "unreadable row: " + read.errors[i] } });
             }
         }
         m_unreadableKeys = { read.unreadable.begin(), read.unreadable.end() };
@@ -277,22 +255,10 @@
     void replaceUnreadableOwnRow(const TableRows &rows)
     {
         for (const TableRow &row : rows.rows) {
-            if (row.key == m_record.daemon) {
-                rewriteIfOverwritten(row.version);
+            if (row.key == m_ownRecord.record().daemon) {
+                m_ownRecord.onRowRead(std::nullopt, row.version);
             }
         }
-        m_restoreBackend(nullptr);
-    }
-
-    /** Writes this VM's row again if another writer replaced it after this daemon's last write. @param version  current version of the row */
-    void rewriteIfOverwritten(uint64_t version)
-    {
-        const bool isOverwritten = m_isRecordStored && !m_isWriting && version > m_rowVersion;
-        m_rowVersion = version;
-        if (isOverwritten) {
-            m_isWritePending = true;
-            m_writeTimer.cancel();
-        }
     }
 
     void removeVm(const std::string &daemon, uint64_t incarnation, const char *reason)
@@ -316,41 +282,16 @@
     void applyVmRow(const VmRow &row)
     {
         if (m_directory.isSelf(row.record.daemon)) {
-            rewriteIfOverwritten(row.version);
-            reconcileOwnRecord(row.record);
+            m_ownRecord.onRowRead(row.record, row.version);
             return;
         }
         applyVmRecord(row.record, "store");
     }
 
-    /**
-     * Handles a record of this VM that was read from the store or a peer. It may stem from a previous run of this daemon, whose
-     * incarnation can be higher than the present one if the clock has been set back since.
-     */
-    void reconcileOwnRecord(const VmRecord &stored)
-    {
-        const bool isFromThisRun = stored.incarnation == m_record.incarnation;
-        if (isFromThisRun && !stored.isNewerThan(m_record)) {
-            return;
-        }
-        if (!isFromThisRun) {
-            // A start time more than MaxClockSetbackMs in the future is not plausible. Restoring it would make every later
-            // process of the backend server appear older than the restored process.
-            const bool isPlausibleStartTime = stored.backend.startedAtMs <= unixTimeMs() + MaxClockSetbackMs;
-            m_restoreBackend(isPlausibleStartTime ? &stored.backend : nullptr);
-        }
-        // A newer record with the incarnation of this run was stored by another writer. In either case the incarnation is raised above
-        // the stored one, so that other daemons accept the next record of this daemon as newer.
-        if (stored.isNewerThan(m_record)) {
-            m_record.incarnation = stored.incarnation + 1;
-            onRecordChanged();
-        }
-    }
-
     /** Merges the record of another VM into the directory, and logs the change if the record is newer. */
     void applyVmRecord(const VmRecord &record, const char *source)
     {
-        if (record.address == m_record.address) {
+        if (record.address == m_ownRecord.record().address) {
             return; // the record of a failed VM whose address now belongs to this VM
         }
         if (m_directory.merge(record)) {
@@ -367,86 +308,14 @@
         }
     }
 
-    void onRecordChanged()
-    {
-        ++m_record.revision;
-        m_directory.merge(m_record);
-        m_isWritePending = true;
-        m_writeTimer.cancel();
-        m_reportSender.announceRecord();
-    }
-
-    /** Writes the record of this VM to the store whenever it changes, and retries until the write succeeds. */
-    Task<void> writeRecord()
-    {
-        Backoff backoff;
-        m_writeTimer.expires_after(FirstWriteDelay);
-        m_isWriting = false; // a previous run of this task may have failed during a write
-        ErrorCode firstWaitError; // ignored: a change of the record cancels the timer
-        co_await m_writeTimer.async_wait(redirectError(firstWaitError));
-        m_isWritePending = true;
-        while (true) {
-            if (!m_isWritePending) {
-                m_writeTimer.expires_at(TimePoint::max());
-                ErrorCode ignored; // a pending write cancels the timer
-                co_await m_writeTimer.async_wait(redirectError(ignored));
-                continue;
-            }
-            m_isWritePending = false;
-            m_isWriting = true;
-            const auto result = co_await m_store.commit(ownRecordWrite());
-            m_isWriting = false;
-            if (result && result->isApplied) {
-                m_storeReachability.onResponse();
-                m_rowVersion = std::max(m_rowVersion, result->version);
-                m_isRecordStored = true;
-                backoff.reset();
-                continue;
-            }
-            m_isWritePending = true;
-            if (result) {
-                onWriteConflict(*result);
-            } else {
-                m_storeReachability.onFailure(VmTableName);
-            }
-            co_await sleepFor(backoff.next());
-        }
-    }
-
-    /**
-     * @return the conditional write of this VM's record. The condition on the row's version keeps a delayed write, whose
-     *         response was lost, from overwriting a later write.
-     */
-    TableChange ownRecordWrite() const
-    {
-        TableChange change;
-        change.conditions.push_back({ VmTableName, m_record.daemon, "", m_rowVersion });
-        change.puts.push_back({ VmTableName, m_record.daemon, VmRecordCodec::encode(m_record) });
-        return change;
-    }
-
-    /** Adopts the current version of this VM's row after a conditional write was rejected. */
-    void onWriteConflict(const TableChangeResult &result)
-    {
-        m_rowVersion = 0;
-        for (const TableRow &row : result.current) {
-            if (row.key != m_record.daemon) {
-                continue;
-            }
-            m_rowVersion = row.version;
-            if (const auto stored = VmRecordCodec::decode(row.value)) {
-                reconcileOwnRecord(*stored);
-            }
-        }
-    }
-
     GossipMessage message(const TargetReport &load) const
     {
         GossipMessage message;
-        message.daemon = m_record.daemon;
-        message.incarnation = m_record.incarnation;
-        message.revision = m_record.revision;
-        message.peerAddress = m_record.address;
+        const VmRecord &own = m_ownRecord.record();
+        message.daemon = own.daemon;
+        message.incarnation = own.incarnation;
+        message.revision = own.revision;
+        message.peerAddress = own.address;
         message.configVersion = m_routeFollower.version();
         message.confirmationAge = m_routeFollower.confirmationAge();
         message.report = load;
@@ -505,6 +374,7 @@
             const StatePart part = m_directory.all().size() < 2 ? StatePart::All : StatePart::OwnRecord;
             if (const auto state = co_await m_peerClients.fetchState(sender.peerAddress, part)) {
                 applyPeerState(*state);
+                m_ownRecord.recover();
             }
         }
     }
@@ -530,37 +400,25 @@
     void applyPeerState(const std::string &text)
     {
         std::string errorMessage;
-        const auto state = boundedjson::decode(
-            [&text] {
-                auto json = boundedjson::parse(text, PeerStateLimits);
-                json.at("vms");
-                json.at("routes").get_ref<const std::string &>();
-                return json;
-            },
-            &errorMessage);
+        const auto state = PeerState::decode(text, &errorMessage);
         if (!state) {
             EventLog::write(LogLevel::Warning, Event::ConfigRejected, { { "source", "peer" }, { "reason", errorMessage } });
             return;
         }
-        for (const auto &item : state->at("vms")) {
-            // Unreadable records are skipped. They are logged when their rows are read from the store.
-            if (item.is_string()) {
-                applyPeerRecord(item.template get_ref<const std::string &>());
-            }
+        for (const VmRecord &record : state->records) {
+            applyPeerRecord(record);
         }
-        const auto &routes = state->at("routes").template get_ref<const std::string &>();
-        if (!routes.empty()) {
-            m_routeFollower.apply(routes, "peer");
+        if (!state->routes.empty()) {
+            m_routeFollower.apply(state->routes, "peer");
         }
     }
 
-    void applyPeerRecord(const std::string &text)
+    void applyPeerRecord(const VmRecord &record)
     {
-        const auto record = VmRecordCodec::decode(text);
-        if (record && m_directory.isSelf(record->daemon)) {
-            reconcileOwnRecord(*record);
-        } else if (record) {
-            applyVmRecord(*record, "peer");
+        if (m_directory.isSelf(record.daemon)) {
+            m_ownRecord.reconcile(record);
+        } else {
+            applyVmRecord(record, "peer");
         }
     }
 
@@ -573,19 +431,13 @@
     StoreReachability m_storeReachability;
     RouteFollower<Platform> m_routeFollower;
     PeerClients m_peerClients;
+    OwnRecord<typename Platform::Dialect> m_ownRecord;
     std::shared_ptr<DatagramPort> m_datagramPort;
-    std::function<void(const BackendRecord *)> m_restoreBackend;
-    VmRecord m_record;
-    uint64_t m_rowVersion = 0; /**< Latest known version of this VM's row; 0 if there is none. */
-    bool m_isWritePending = false; /**< The record has changed since its last write. */
-    bool m_isWriting = false;
-    bool m_isRecordStored = false;
     std::set<std::string> m_unreadableKeys; /**< Keys of the rows that could not be decoded at the last read of the VM table. */
     bool m_isFetchingRecord = false;
     bool m_isFetchingRoutes = false;
     RouteFetchScheduler m_routeFetchScheduler;
     ReportSender m_reportSender;
-    asio::steady_timer m_writeTimer;
     std::minstd_rand m_random { std::random_device {}() };
 };
 
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -38,6 +38,7 @@
     SuspectRecorded = 3009,
     SuspectCleared = 3010,
     SuspectCondemned = 3011,
+    LeaveNotKept = 3012,
     // 4000: membership
     MemberJoined = 4001,
     MemberChanged = 4002,
@@ -96,6 +97,7 @@
         { Event::SuspectRecorded, "suspect-recorded" },
         { Event::SuspectCleared, "suspect-cleared" },
         { Event::SuspectCondemned, "suspect-condemned" },
+        { Event::LeaveNotKept, "leave-not-kept" },
         { Event::MemberJoined, "member-joined" },
         { Event::MemberChanged, "member-changed" },
         { Event::MemberSuspected, "member-suspected" },
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -140,10 +140,10 @@
         co_return parseRowsResponse(co_await sendRequest(Dialect::watch(table, afterVersion, wait), wait + CallTimeout, std::move(cancellation)));
     }
 
-    /** Applies a change if all its conditions hold. */
-    Task<std::optional<TableChangeResult>> commit(TableChange change)
+    /** Applies a change if all its conditions hold. @param timeout  time to wait for the response */
+    Task<std::optional<TableChangeResult>> commit(TableChange change, Duration timeout = CallTimeout)
     {
-        const auto response = co_await sendRequest(Dialect::commit(change), CallTimeout);
+        const auto response = co_await sendRequest(Dialect::commit(change), timeout);
         if (!response) {
             co_return std::nullopt;
         }
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -60,8 +60,10 @@
     static constexpr double BodyMemoryShare = 0.65;
     /** Minimum time between closing the ports and ending the process, to answer requests that arrived during the close. */
     static constexpr Duration MinCloseDuration = std::chrono::milliseconds(100);
-    /** Maximum time that the response to a leave waits until the leave is stored, so that it still applies after a daemon restart. */
-    static constexpr Duration LeaveStoreTimeout = std::chrono::milliseconds(400);
+    /** Maximum time that the response to a leave waits until the leave outlives a restart of this daemon. Callers wait for a second. */
+    static constexpr Duration LeaveKeepTimeout = std::chrono::milliseconds(850);
+    /** Interval at which a leave is checked that arrives before the record from before a restart is recovered. */
+    static constexpr Duration LeavePollInterval = std::chrono::milliseconds(10);
     /** Number of copies of a caller's body that the entry daemon holds: one for a retry, and one being sent to a target. */
     static constexpr uint64_t CallerBodyCopies = 2;
     /**
@@ -227,7 +229,7 @@
         const std::string_view path(message.target().data(), message.target().size());
         if (const auto part = fromName<StatePart>(path)) {
             HttpResponse state(http::status::ok, 11);
-            state.body() = m_sync.encodeState(*part);
+            state.body() = m_sync.encodeState(*part, fieldValue(message, PeerCodec::DaemonField));
             state.prepare_payload();
             co_return state;
         }
@@ -274,15 +276,49 @@
         HttpResponse response(http::status::ok, 11);
         response.set(http::field::content_type, "application/json");
         response.body() = "{}";
-        const bool wasLeaving = m_target.record().isLeaving;
         std::visit([&](const auto &decodedCall) { onControlCall(decodedCall, response); }, *call);
-        if (!wasLeaving && m_target.record().isLeaving) {
-            co_await m_sync.waitUntilStored(LeaveStoreTimeout);
+        const std::string leavingId = std::visit([](const auto &decodedCall) { return leavingBackend(decodedCall); }, *call);
+        if (response.result() == http::status::ok && !leavingId.empty() && !co_await waitUntilLeaveKept(leavingId)) {
+            EventLog::write(LogLevel::Warning, Event::LeaveNotKept, { { "backend", leavingId } });
+            response.result(http::status::service_unavailable);
         }
         response.prepare_payload();
         co_return response;
     }
 
+    /** @return id of the backend server that announces in @p call that it is leaving, empty for another call */
+    template<typename Call>
+    static std::string leavingBackend(const Call &call)
+    {
+        if constexpr (requires { call.draining; }) {
+            return call.draining ? call.id : "";
+        } else if constexpr (requires { call.reason; }) {
+            return "";
+        } else {
+            return call.id;
+        }
+    }
+
+    /**
+     * Waits until the leave of a backend server outlives a restart of this daemon. Its acknowledgement is a promise that binds also the next process.
+     * @return whether it does; true if another backend server has taken its place
+     */
+    Task<bool> waitUntilLeaveKept(std::string id)
+    {
+        const TimePoint end = SteadyClock().now() + LeaveKeepTimeout;
+        asio::steady_timer timer(m_loop);
+        while (m_target.record().id.empty() && SteadyClock().now() < end) {
+            timer.expires_after(LeavePollInterval);
+            ErrorCode ignored; // nothing cancels this timer
+            co_await timer.async_wait(redirectError(ignored));
+        }
+        const BackendRecord &record = m_target.record();
+        if (record.id != id || !record.isLeaving) {
+            co_return !record.id.empty();
+        }
+        co_return co_await m_sync.ownRecord().waitUntilKept(end - SteadyClock().now());
+    }
+
     void onControlCall(const Heartbeat &heartbeat, HttpResponse &response)
     {
         if (heartbeat.address != m_settings.backendAddress) {
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -31,8 +31,22 @@
     return !isSlow && (vm.report.limit == 0 || vm.report.running + vm.report.waiting + vm.sentSinceReport < vm.report.limit);
 }
 
+bool isSameProcess(const BackendRecord &a, const BackendRecord &b)
+{
+    return a.id == b.id && a.startedAtMs == b.startedAtMs;
+}
+
 } // namespace
 
+VmRecord VmState::recordWithLeave() const
+{
+    VmRecord result = record;
+    if (result.backend.id.empty() || isSameProcess(result.backend, leftBackend)) {
+        result.backend = leftBackend;
+    }
+    return result;
+}
+
 bool VmDirectory::merge(const VmRecord &record)
 {
     const auto [found, isNew] = m_vms.try_emplace(record.daemon);
@@ -42,6 +56,11 @@
     }
     const bool hasRestarted = isNew || record.incarnation != vm.record.incarnation || record.backend.id != vm.record.backend.id;
     vm.record = record;
+    if (record.backend.isLeaving) {
+        vm.leftBackend = record.backend;
+    } else if (!record.backend.id.empty() && isSameProcess(record.backend, vm.leftBackend)) {
+        vm.record.backend = vm.leftBackend;
+    }
     if (hasRestarted) {
         vm.report = {};
         vm.backoffUntil = {};
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -116,6 +116,13 @@
     co_return response;
 }
 
+Task<void> StandInTableStore::performLate(HttpRequest request)
+{
+    asio::steady_timer timer(m_loop, *lostWriteDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    transact(request);
+}
+
 Task<MaybeResponse> StandInTableStore::answer(HttpRequest request)
 {
     const std::string target(request.target().data(), request.target().size());
@@ -132,6 +139,13 @@
     if (target.starts_with("/v1/rows-feed")) {
         co_return co_await feed(target);
     }
+    if (target.starts_with("/v1/rows-tx") && writesToLose > 0) {
+        --writesToLose;
+        if (lostWriteDelay) {
+            asio::co_spawn(m_loop, performLate(request), asio::detached);
+        }
+        co_await waitForever();
+    }
     if (target.starts_with("/v1/rows-tx")) {
         co_return transact(request);
     }
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -37,6 +37,8 @@
     Duration delay = Duration::zero(); /**< Delay before each request is processed. */
     std::vector<nlohmann::json> malformedRows; /**< Rows of another writer, appended unchanged to each table that is read. */
     bool isSilent = false; /**< Calls that arrive or are in progress get no response, also after this ends; their connections stay open. */
+    int writesToLose = 0; /**< Number of the next writes that get no response and are performed late or never. */
+    std::optional<Duration> lostWriteDelay; /**< Time after which a lost write is performed if its condition still holds; empty for never. */
     bool dropsWriteResponses = false; /**< Applies writes, but closes the connection without a response. */
 
 private:
@@ -49,6 +51,7 @@
     Task<MaybeResponse> handle(HttpRequest request);
     Task<MaybeResponse> answer(HttpRequest request);
     Task<void> waitForever();
+    Task<void> performLate(HttpRequest request);
     Task<HttpResponse> feed(std::string target);
     HttpResponse get(const std::string &target) const;
     MaybeResponse transact(const HttpRequest &request);
--- a/tests/process/backendgatetest.cpp
+++ b/tests/process/backendgatetest.cpp
@@ -112,6 +112,35 @@
     CHECK(gate.isOpen());
 }
 
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveOfTheProcessFromBeforeARestart.isRecorded")
+{
+    // Guards against a leave that a second restart of the daemon forgets, because the first one had left the daemon without a heartbeat.
+    const BackendRecord ready { "a", 5, "ordering", 9, BackendState::Ready, false };
+    SECTION("record restored first")
+    {
+        gate.restoreRecord(ready, clock.now());
+        CHECK(leave("a", 1000));
+    }
+    SECTION("leave received first")
+    {
+        leave("a", 1000);
+        CHECK(gate.restoreRecord(ready, clock.now()));
+    }
+    CHECK(gate.record() == BackendRecord { "a", 5, "ordering", 9, BackendState::Gone, true });
+    gate.onHeartbeat(makeHeartbeat("a", 5, 7), clock.now());
+    CHECK_FALSE(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveAfterAHeartbeatTimeout.changesTheRecord")
+{
+    // Guards against a leave that is not stored, because the backend server already counted as gone without having announced it.
+    gate.onHeartbeat(makeHeartbeat("a", 1, 1), clock.now());
+    clock.advance(4s);
+    gate.checkHeartbeatTimeout(clock.now());
+    CHECK(leave("a"));
+    CHECK(gate.record().isLeaving);
+}
+
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.longPastLeaveOfAnUnknownProcess.isForgotten")
 {
     // Guards against a gate that stays closed permanently after a jump of the system clock: a process that starts after the jump may have a
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -48,6 +48,33 @@
     VmDirectory directory { "self", { "pil-a", "pilbara" } };
 };
 
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.leaveThatTheRestartedDaemonHasLost.staysInForce")
+{
+    // Guards against requests to a leaving server whose daemon was restarted and takes it for ready, because the store has not recorded the leave.
+    VmRecord record = makeRecord("near", "pil-a", "pilbara", 2);
+    record.backend.state = BackendState::Draining;
+    record.backend.isLeaving = true;
+    directory.merge(record);
+    const bool startsUnknown = GENERATE(false, true);
+    VmRecord restarted = makeRecord("near", "pil-a", "pilbara");
+    restarted.incarnation = 2;
+    if (startsUnknown) {
+        restarted.backend = {};
+        CHECK(directory.merge(restarted));
+        CHECK(directory.find("near")->recordWithLeave().backend.isLeaving);
+        restarted = makeRecord("near", "pil-a", "pilbara", 2);
+        restarted.incarnation = 2;
+    }
+    CHECK(directory.merge(restarted));
+    CHECK(directory.find("near")->record.backend.isLeaving);
+    CHECK(selectTarget(TargetScope::Region) == "next");
+    restarted.revision = 3;
+    restarted.backend.startedAtMs = 2; // the next process
+    CHECK(directory.merge(restarted));
+    CHECK_FALSE(directory.find("near")->recordWithLeave().backend.isLeaving);
+    CHECK(selectTarget(TargetScope::Region) == "near");
+}
+
 TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.idleTargets.nearestWins")
 {
     CHECK(selectTarget(TargetScope::Anywhere) == "near");
