--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -59,7 +59,7 @@
     static constexpr Duration RecordFetchDelay = std::chrono::milliseconds(500);
     /** Interval at which a daemon with outdated routes retries to select a peer to fetch them from. */
     static constexpr Duration PeerSelectionRetryInterval = std::chrono::milliseconds(50);
-    /** Age up to which a crash is included in each report, because datagrams may be lost. */
+    /** Age up to which a crash or its clearance is included in each report, because datagrams may be lost. */
     static constexpr Duration MaxCrashReportAge = std::chrono::seconds(8);
     static constexpr size_t MaxCrashReports = 24;
 
@@ -319,7 +319,9 @@
         message.configVersion = m_routeFollower.version();
         message.confirmationAge = m_routeFollower.confirmationAge();
         message.report = load;
-        message.crashes = m_crashHistory.reportsSince(SteadyClock().now() - MaxCrashReportAge, MaxCrashReports);
+        const TimePoint oldest = SteadyClock().now() - MaxCrashReportAge;
+        message.crashes = m_crashHistory.reportsSince(oldest, MaxCrashReports);
+        message.clearedFingerprints = m_crashHistory.clearedSince(oldest, MaxCrashReports);
         return message;
     }
 
@@ -340,6 +342,9 @@
         for (const CrashReport &crash : message->crashes) {
             m_crashHistory.add(crash, now);
         }
+        for (const uint64_t fingerprint : message->clearedFingerprints) {
+            m_crashHistory.onAnswered(fingerprint, now);
+        }
         if (message->confirmationAge) {
             m_routeFollower.onPeerConfirmation(message->configVersion, *message->confirmationAge);
         }
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -19,7 +19,9 @@
 using boundedjson::Json;
 
 constexpr double Percent = 100;
-constexpr size_t ConfirmationAgeIndex = 9; // optional last element, in milliseconds
+constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
+constexpr size_t ConfirmationAgeIndex = 9; // in milliseconds, or null; older daemons send no such element
+constexpr size_t ClearedIndex = 10; // list; absent if it is empty
 constexpr JsonLimits DatagramLimits { 65'536, 4 }; // a valid message has three levels of nested arrays, one fewer than the limit
 
 uint32_t toPercent(double value)
@@ -63,13 +65,17 @@
     message.configVersion = boundedjson::unsignedInteger(json.at(4), boundedjson::MaxExactInteger);
     message.report = parseReport(json.at(5), json.at(7));
     for (const Json &crash : json.at(6)) {
-        constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
         message.crashes.push_back({ boundedjson::unsignedInteger(crash.at(0), AnyHash), boundedjson::name(crash.at(1)) });
     }
     if (const auto &text = json.at(8).get_ref<const std::string &>(); !text.empty()) {
         message.record = VmRecordCodec::decode(text);
     }
-    if (json.size() > ConfirmationAgeIndex) {
+    if (json.size() > ClearedIndex) {
+        for (const Json &fingerprint : json.at(ClearedIndex)) {
+            message.clearedFingerprints.push_back(boundedjson::unsignedInteger(fingerprint, AnyHash));
+        }
+    }
+    if (json.size() > ConfirmationAgeIndex && !json.at(ConfirmationAgeIndex).is_null()) {
         message.confirmationAge = std::chrono::milliseconds(boundedjson::unsignedInteger32(json.at(ConfirmationAgeIndex)));
     }
     // The address is optional. A message without one reports only load, since there is no address to fetch the state from.
@@ -97,8 +103,11 @@
                    std::move(crashList),
                    { toJson(report.slots.upper), toJson(report.slots.lower) },
                    record ? VmRecordCodec::encode(*record) : "" };
-    if (confirmationAge) {
-        message.push_back(toMs(*confirmationAge));
+    if (confirmationAge || !clearedFingerprints.empty()) {
+        message.push_back(confirmationAge ? Json(toMs(*confirmationAge)) : Json());
+    }
+    if (!clearedFingerprints.empty()) {
+        message.push_back(clearedFingerprints);
     }
     const std::vector<uint8_t> bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
--- a/src/process/gossipmessage.h
+++ b/src/process/gossipmessage.h
@@ -22,6 +22,7 @@
     std::optional<Duration> confirmationAge;
     TargetReport report;
     std::vector<CrashReport> crashes; /**< Recent crashes. Each is included in several messages, because datagrams may be lost. */
+    std::vector<uint64_t> clearedFingerprints; /**< Requests that were answered although crashes had been reported for them. */
     std::optional<VmRecord> record; /**< VM record of the sender, if it has just changed. */
 
     /** @return the message as CBOR */
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -173,7 +173,7 @@
     if (record.id != request.backend) {
         return Reason::StaleIncarnation;
     }
-    if (m_crashHistory.isCondemned(request.fingerprint)) {
+    if (m_crashHistory.isCondemned(request.fingerprint, SteadyClock().now())) {
         return Reason::Condemned;
     }
     return std::nullopt;
@@ -344,6 +344,9 @@
         m_routeServiceTimes.observe(request.route, result.serviceTime);
         m_tuner.onAnswer(limitAtStart, m_slotQueue.usage().running, request.route, std::chrono::duration<double>(result.serviceTime).count());
     }
+    if (result.outcome == Outcome::Ran && m_crashHistory.onAnswered(request.fingerprint, SteadyClock().now())) {
+        m_callbacks.onCrashesCleared(request.fingerprint);
+    }
     if (end == ExchangeEnd::NotSent) {
         m_fingerprintsInFlight.erase(run); // the request did not run, so it can't have caused a crash
     }
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -23,6 +23,7 @@
 struct TargetCallbacks {
     std::function<void()> onRecordChanged; /**< Called after a change of the backend server's record. */
     std::function<void(const CrashReport &)> onCrash; /**< Called for each request that was in flight when the backend server crashed. */
+    std::function<void(uint64_t fingerprint)> onCrashesCleared; /**< Called if a request was answered for which crashes were recorded. */
     std::function<std::string(const std::string &service)> healthPath; /**< Returns the health path of a service, empty if it is unknown. */
 };
 
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -86,6 +86,7 @@
                    m_routeServiceTimes,
                    TargetCallbacks { [this] { publishBackendRecord(); },
                                      [this](const CrashReport &report) { onCrash(report); },
+                                     [this](uint64_t fingerprint) { onCrashesCleared(fingerprint); },
                                      [this](const std::string &service) {
                                          return healthPath(service);
                                      } },
@@ -383,6 +384,12 @@
         }
     }
 
+    void onCrashesCleared(uint64_t fingerprint)
+    {
+        EventLog::write(LogLevel::Info, Event::SuspectCleared, { { "fingerprint", std::to_string(fingerprint) }, { "cause", "answered" } });
+        m_sync.reportNow();
+    }
+
     size_t activeRequests() const
     {
         return m_callerPort->activeRequests() + m_peerPort->activeRequests();
--- a/src/request/requestrouter.cpp
+++ b/src/request/requestrouter.cpp
@@ -175,8 +175,8 @@
     message.erase(PeerCodec::RequestField);
     request.message = std::move(message);
     m_clusterRetryBudget.onRequest(request.service, state.startedAt);
-    if (m_crashHistory.isCondemned(request.fingerprint)) {
-        return refuse(state, state.lastReason = Reason::Condemned, LongestRetryAfter);
+    if (const Duration condemned = m_crashHistory.condemnedFor(request.fingerprint, state.startedAt); condemned > Duration::zero()) {
+        return refuse(state, state.lastReason = Reason::Condemned, std::min<Duration>(condemned, LongestRetryAfter));
     }
     return std::nullopt;
 }
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -30,6 +30,7 @@
                        work,
                        TargetCallbacks { [] {},
                                          [this](const CrashReport &) { ++reportedCrashCount; },
+                                         [](uint64_t) {},
                                          [this](const std::string &) {
                                              return healthPath;
                                          } });
