--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -76,7 +76,7 @@
         : m_loop(loop)
         , m_settings(std::move(settings))
         , m_directory(m_settings.daemon, Locality { m_settings.dataCentre, m_settings.region })
-        , m_clusterRetryBudget(ClusterRetryLimits { m_settings.retryRatio, static_cast<double>(m_settings.retrySlack), m_settings.retryWindow })
+        , m_clusterRetryBudget(ClusterRetryLimits { m_settings.retryRatio, m_settings.retrySlack, m_settings.retryWindow })
         , m_bodyBudget(std::make_shared<BodyBudget>(bodyMemoryBytes(m_settings), [this] { m_metrics.add(Counter::BodiesWithoutRoom); }))
         , m_target(loop,
                    parseEndpoint(m_settings.backendAddress).value(),
@@ -133,7 +133,7 @@
     /** Applies those of the changed settings that can change while the process runs. */
     void reload(const VmSettings &settings)
     {
-        m_clusterRetryBudget.setLimits(ClusterRetryLimits { settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow });
+        m_clusterRetryBudget.setLimits(ClusterRetryLimits { settings.retryRatio, settings.retrySlack, settings.retryWindow });
         m_settings.gracePeriod = settings.gracePeriod;
         m_settings.logLevel = settings.logLevel;
         EventLog::initialiseStandardOutput(settings.logLevel);
@@ -206,7 +206,7 @@
         limits.sharedBodyBudget = m_bodyBudget;
         limits.bodyCopies = isCaller ? CallerBodyCopies : 1;
         limits.connections = static_cast<size_t>(m_settings.maxDescriptors * DescriptorShare);
-        limits.bodyBytes = uint64_t { m_settings.memoryMb } * BytesPerMebibyte / MaxBodyMemoryDivisor;
+        limits.bodyBytes = static_cast<uint64_t>(m_settings.memoryMb * BytesPerMebibyte / MaxBodyMemoryDivisor);
         const auto routes = m_sync.routes();
         if (isCaller && routes) {
             limits.headerBytes = routes->limits().headerBytes;
--- a/src/process/vmsettings.cpp
+++ b/src/process/vmsettings.cpp
@@ -55,10 +55,10 @@
         durationKey("heartbeat-interval", &VmSettings::heartbeatInterval, milliseconds(50), minutes(1)),
         durationKey("grace-period", &VmSettings::gracePeriod, milliseconds(500), minutes(10)),
         realKey("retry-ratio", &VmSettings::retryRatio, "", 0, 1),
-        integerKey("retry-slack", &VmSettings::retrySlack, "arrivals", 0, 1'000'000),
+        realKey("retry-slack", &VmSettings::retrySlack, "arrivals", 0, 1'000'000),
         durationKey("retry-window", &VmSettings::retryWindow, seconds(1), minutes(10)),
-        integerKey("memory", &VmSettings::memoryMb, "MB", 32, 1'000'000),
-        integerKey("descriptors", &VmSettings::maxDescriptors, "descriptors", 64, 10'000'000),
+        realKey("memory", &VmSettings::memoryMb, "MB", 32, 1'000'000),
+        realKey("descriptors", &VmSettings::maxDescriptors, "descriptors", 64, 10'000'000),
     };
     return all;
 }
--- a/src/process/vmsettings.h
+++ b/src/process/vmsettings.h
@@ -30,10 +30,10 @@
     Duration heartbeatInterval = std::chrono::milliseconds(1500); /**< Interval of the backend server's heartbeats. */
     Duration gracePeriod = std::chrono::seconds(6); /**< Time from a stop signal to the end of the process. */
     double retryRatio = 0.2; /**< Retries allowed per request of a service, over all daemons. */
-    uint32_t retrySlack = 50; /**< Retries of a service allowed in addition to the ratio within a window, over all daemons. */
+    double retrySlack = 50; /**< Retries of a service allowed in addition to the ratio within a window, over all daemons. */
     Duration retryWindow = std::chrono::seconds(10); /**< Length of the sliding window over which retries are limited. */
-    uint32_t memoryMb = 256; /**< Memory limit of the process in MiB; the settings call this unit MB. */
-    uint32_t maxDescriptors = 4096; /**< Limit for open file descriptors of the process. */
+    double memoryMb = 256; /**< Memory limit of the process in MiB; the settings call this unit MB. */
+    double maxDescriptors = 4096; /**< Limit for open file descriptors of the process. */
 };
 
 /** Result of VmSettingsParser. */
--- a/src/version/valuetext.cpp
+++ b/src/version/valuetext.cpp
@@ -46,6 +46,16 @@
     return (character >= 'a' && character <= 'z') || isDigit(character);
 }
 
+/** Splits a value into its leading digits, with a decimal fraction if there is one, and its unit. */
+std::pair<std::string_view, std::string_view> splitDecimalUnit(std::string_view text)
+{
+    const auto isPartOfNumber = [](char character) {
+        return isDigit(character) || character == '.';
+    };
+    const size_t length = static_cast<size_t>(std::find_if_not(text.begin(), text.end(), isPartOfNumber) - text.begin());
+    return { text.substr(0, length), text.substr(length) };
+}
+
 /** Splits a value into its leading digits and its unit. */
 std::pair<std::string_view, std::string_view> splitUnit(std::string_view text)
 {
@@ -53,6 +63,18 @@
     return { text.substr(0, digits), text.substr(digits) };
 }
 
+/** @return the number, written as digits, a point and digits, without further leading zeros, or empty */
+std::optional<double> parseDecimal(std::string_view text)
+{
+    const size_t point = text.find('.');
+    if (point == std::string_view::npos || !ValueText::parseInteger(text.substr(0, point))) {
+        return std::nullopt;
+    }
+    const std::string_view fraction = text.substr(point + 1);
+    const bool isValid = !fraction.empty() && std::all_of(fraction.begin(), fraction.end(), isDigit);
+    return isValid ? ValueText::parseReal(text) : std::nullopt;
+}
+
 struct AddressParts {
     std::string host;
     std::string_view port;
@@ -100,17 +122,22 @@
 
 std::optional<Duration> ValueText::parseDuration(std::string_view text)
 {
-    const auto [digits, unitName] = splitUnit(text);
-    const auto count = parseInteger(digits);
+    const auto [number, unitName] = splitDecimalUnit(text);
     const auto unit
         = std::find_if(DurationUnits.begin(), DurationUnits.end(), [name = unitName](const DurationUnit &candidate) { return candidate.name == name; });
-    if (!count || unit == DurationUnits.end()) {
+    if (unit == DurationUnits.end()) {
         return std::nullopt;
     }
-    if (*count > static_cast<uint64_t>(Duration::max() / unit->length)) {
-        return Duration::max();
+    if (const auto count = parseInteger(number)) {
+        const bool isInRange = *count <= static_cast<uint64_t>(Duration::max() / unit->length);
+        return isInRange ? unit->length * static_cast<Duration::rep>(*count) : Duration::max();
     }
-    return unit->length * static_cast<Duration::rep>(*count);
+    const auto value = parseDecimal(number);
+    if (!value) {
+        return std::nullopt;
+    }
+    const double length = std::round(*value * static_cast<double>(unit->length.count()));
+    return length < static_cast<double>(Duration::max().count()) ? Duration(static_cast<Duration::rep>(length)) : Duration::max();
 }
 
 std::optional<uint64_t> ValueText::parseSize(std::string_view text)
@@ -173,8 +200,12 @@
 std::string ValueText::format(double value)
 {
     std::array<char, 32> buffer {};
-    const auto [end, error] = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
-    return error == std::errc() ? std::string(buffer.data(), end) : std::string();
+    char *const last = buffer.data() + buffer.size();
+    std::to_chars_result result = std::to_chars(buffer.data(), last, value, std::chars_format::fixed);
+    if (result.ec != std::errc()) {
+        result = std::to_chars(buffer.data(), last, value); // very large or small numbers need an exponent
+    }
+    return result.ec == std::errc() ? std::string(buffer.data(), result.ptr) : std::string();
 }
 
 std::string ValueText::format(Duration value)
--- a/src/version/valuetext.h
+++ b/src/version/valuetext.h
@@ -20,7 +20,10 @@
     /** @return the finite decimal number, written without a sign, or empty */
     static std::optional<double> parseReal(std::string_view text);
 
-    /** @return the duration, written as a whole number followed by us, ms, s, min or h, or empty; durations out of range yield the maximum */
+    /**
+     * @return the duration, written as a decimal number followed by us, ms, s, min or h, or empty; fractions of a nanosecond are rounded, and durations
+     *         out of range yield the maximum
+     */
     static std::optional<Duration> parseDuration(std::string_view text);
 
     /** @return the size in bytes, written as a whole number that KiB or MiB may follow, or empty; sizes out of range yield the maximum */
--- a/tests/platform/platformadaptertest.cpp
+++ b/tests/platform/platformadaptertest.cpp
@@ -164,9 +164,12 @@
     CHECK(error(http::status::too_many_requests) == TableStoreError::Refused);
 }
 
-TEST_CASE("SettingsTemplate.substitutedPlaceholders.formValidSettings")
+namespace
+{
+
+/** Parses the settings template with @p figure in place of each figure of the platform. @return the settings, or empty with the errors as messages */
+std::optional<VmSettings> parseTemplate(const std::string &figure)
 {
-    // Guards against a template with keys that the daemon does not accept.
     std::ifstream file(std::string(CAROBJUNCTION_SOURCE_DIR) + "/platform/settings.yaml.template");
     std::ostringstream content;
     content << file.rdbuf();
@@ -174,12 +177,40 @@
     text = std::regex_replace(text, std::regex(R"(\{\{(app_addr|listen\.[a-z]+|platform\.address)\}\})"), "10.1.0.38:8145");
     text = std::regex_replace(text, std::regex(R"(\{\{ip\}\}:\{\{port_range\.0\}\})"), "10.1.0.38:7380");
     text = std::regex_replace(text, std::regex(R"(\{\{bounds\.retry_budget_ratio\}\})"), "0.2");
-    text = std::regex_replace(text, std::regex(R"(\{\{(limits|bounds)\.[a-z_]+\}\}|\{\{heartbeat_ms\}\})"), "100");
+    text = std::regex_replace(text, std::regex(R"(\{\{(limits|bounds)\.[a-z_]+\}\}|\{\{heartbeat_ms\}\})"), figure);
     text = std::regex_replace(text, std::regex(R"(\{\{[a-z_]+\}\})"), "some-name");
-    CAPTURE(text);
+    UNSCOPED_INFO(text);
     const VmSettingsResult result = VmSettingsParser::parse(text, "settings.yaml");
     for (const ConfigError &errorMessage : result.errors) {
         UNSCOPED_INFO(errorMessage.toString());
     }
-    CHECK(result.settings.has_value());
+    return result.settings;
+}
+
+} // namespace
+
+TEST_CASE("SettingsTemplate.substitutedPlaceholders.formValidSettings")
+{
+    // Guards against a template with keys that the daemon does not accept.
+    CHECK(parseTemplate("100").has_value());
+}
+
+TEST_CASE("SettingsTemplate.figuresWithAFraction.formValidSettings")
+{
+    // Guards against daemons that don't start any more after a bound of the platform has become a fraction.
+    const std::string figure = GENERATE("100.5", "64.25", "100.0", "99.999999");
+    CAPTURE(figure);
+    const auto settings = parseTemplate(figure);
+    REQUIRE(settings);
+    CHECK(settings->gracePeriod == std::chrono::nanoseconds(std::llround(std::stod(figure) * 1e9)));
+    CHECK(settings->heartbeatInterval == std::chrono::nanoseconds(std::llround(std::stod(figure) * 1e6)));
+    CHECK(settings->retrySlack == std::stod(figure));
+    CHECK(settings->memoryMb == std::stod(figure));
+}
+
+TEST_CASE("SettingsTemplate.figureThatIsNoNumber.isRefused")
+{
+    const std::string figure = GENERATE("6.", ".5", "6,5", "1e2", "-1.5", "1.2.3", "01.5", "nan");
+    CAPTURE(figure);
+    CHECK_FALSE(parseTemplate(figure).has_value());
 }
--- a/tests/platform/platformdaemonfixture.h
+++ b/tests/platform/platformdaemonfixture.h
@@ -29,8 +29,18 @@
     std::string logFile; /**< Standard output and standard error of the daemon, appended across restarts. */
     std::unique_ptr<StandInBackend> backend;
     std::unique_ptr<bench::ChildProcess> daemon;
+    std::string graceLine = "grace-period: 4s";
     uint64_t sequence = 0;
 
+    void writeSettings(const std::string &storeAddress) const
+    {
+        std::ofstream(settingsFile) << "daemon: " << name << "\nregion: r\ndata-centre: a\nservice: " << service << "\nbackend-address: " << backendAddress()
+                                    << "\n"
+                                    << settings() << "store-address: " << storeAddress << "\nheartbeat-interval: 10s\n"
+                                    << graceLine << "\n"
+                                    << additionalSettings;
+    }
+
     std::string backendAddress() const
     {
         return replacementBackendAddress.empty() ? backend->address() : replacementBackendAddress;
@@ -71,11 +81,7 @@
     /** Writes the settings file and starts the daemon. @param storeAddress  address of the table store; empty to use the stand-in */
     void start(Vm &vm, const std::string &storeAddress = "")
     {
-        std::ofstream file(vm.settingsFile);
-        file << "daemon: " << vm.name << "\nregion: r\ndata-centre: a\nservice: " << vm.service << "\nbackend-address: " << vm.backendAddress() << "\n"
-             << vm.settings() << "store-address: " << (storeAddress.empty() ? store.address() : storeAddress) << "\nheartbeat-interval: 10s\ngrace-period: 4s\n"
-             << vm.additionalSettings;
-        file.close();
+        vm.writeSettings(storeAddress.empty() ? store.address() : storeAddress);
         setenv("CAROBJUNCTION_NODE_FILE", vm.settingsFile.c_str(), 1);
         vm.daemon = bench::ChildProcess::startWithLogFile({ std::string(CAROBJUNCTION_BINARY_DIR) + "/platform/carobjunction-platformd" }, vm.logFile);
         REQUIRE(vm.daemon != nullptr);
--- a/tests/platform/platformdaemontest.cpp
+++ b/tests/platform/platformdaemontest.cpp
@@ -294,6 +294,24 @@
     CHECK(waitFor([&] { return vms[0].daemon->waitForExit(1ms); }, 1500ms));
 }
 
+TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.graceWithAFraction.appliesNowAndAfterARestart")
+{
+    // Guards against a daemon that refuses a changed settings file, runs on with the old one and can't be started again.
+    Vm &vm = vms[1];
+    vm.graceLine = "grace-period: 1.5s";
+    vm.writeSettings(store.address());
+    ::kill(vm.daemon->pid(), SIGHUP);
+    runFor(300ms);
+    std::ifstream log(vm.logFile);
+    const std::string text { std::istreambuf_iterator<char>(log), {} };
+    CHECK(text.find("settings-rejected") == std::string::npos);
+    CHECK(text.find("settings-reloaded") != std::string::npos);
+    vm.daemon->terminate();
+    REQUIRE(waitFor([&] { return vm.daemon->waitForExit(1ms); }, 3s));
+    start(vm);
+    CHECK(waitFor([&] { return getStatus(vm.ready, "/v1/readyz") == 200; }));
+}
+
 TEST_CASE_METHOD(PlatformDaemonFixture, "PlatformDaemon.watchLostWithoutAReset.newVersionIsInForceInTime")
 {
     // Guards against daemons that wait for a watch whose response was lost, while the store answers all other calls.
