Reject requests whose transfer coding leaves the length of their body open

Cause: the parser takes a request whose last transfer coding is not chunked for one without a body, and the listener did not look at the field. Change: framingError() answers 400, or 501 for codings in front of chunked, and the connection is closed.

--- a/src/connection/httplistener.cpp
+++ b/src/connection/httplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/expirytimer.h"
 #include "connection/incomingbodyreservation.h"
+#include "connection/requestframing.h"
 #include "connection/socketoptions.h"
 #include "process/eventlog.h"
 
@@ -249,10 +250,13 @@
     armCloseTimer(limits.headerTimeout, UndeliveredCause::HeaderTimer);
     co_await http::async_read_header(m_socket, m_buffer, parser, redirectError(error));
     m_timer.disarm();
-    if (!error) {
+    if (error) {
+        co_await rejectParseError(error);
+    } else if (const auto status = framingError(parser.get())) {
+        co_await reject(*status);
+    } else {
         co_return true;
     }
-    co_await rejectParseError(error);
     co_return false;
 }
 
--- a/tests/connection/httplistenertest.cpp
+++ b/tests/connection/httplistenertest.cpp
@@ -48,6 +48,32 @@
     CHECK(handledRequests == 0);
 }
 
+TEST_CASE_METHOD(HttpListenerFixture, "HttpListener.transferCodingOtherThanChunked.isRejectedWithItsBody")
+{
+    // Guards against request smuggling: a body without an end that was read as the next request.
+    const auto [coding, status] = GENERATE(table<std::string, std::string>({ { "gzip", "400" },
+                                                                             { "identity", "400" },
+                                                                             { "xchunked", "400" },
+                                                                             { "chunked, identity", "400" },
+                                                                             { "chunked, chunked", "400" },
+                                                                             { "chunked\r\nTransfer-Encoding: identity", "400" },
+                                                                             { "", "400" },
+                                                                             { "gzip, chunked", "501" } }));
+    CAPTURE(coding);
+    const std::string received = send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(received.starts_with("HTTP/1.1 " + status));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(handledRequests == 0);
+}
+
+TEST_CASE_METHOD(HttpListenerFixture, "HttpListener.chunkedInAnyCase.isServed")
+{
+    const std::string coding = GENERATE("chunked", "Chunked", "CHUNKED");
+    CHECK(send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n").starts_with("HTTP/1.1 200"));
+    CHECK(lastRequest.body() == "abc");
+}
+
 TEST_CASE_METHOD(HttpListenerFixture, "HttpListener.limits.areEnforced")
 {
     limits.headerBytes = 200;
