Don't report the store as unreachable after a watch was abandoned

Cause: an abandoned watch ended like a failed call, so that the gauge stayed at 0 until the store answered the next call of this daemon. Change: a watch that this daemon ended is no failure. The addresses of the holders are reserved at once (clang-tidy).

--- a/src/process/ownrecord.h
+++ b/src/process/ownrecord.h
@@ -232,6 +232,7 @@
         std::sort(ranked.rbegin(), ranked.rend());
         ranked.resize(std::min(ranked.size(), count));
         std::vector<std::string> addresses;
+        addresses.reserve(ranked.size());
         for (auto &[rank, address] : ranked) {
             addresses.push_back(std::move(address));
         }
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <utility>
 
 namespace carobjunction
 {
@@ -133,7 +134,9 @@
             } else if (LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
                 m_storeVersion.reset();
             } else {
-                m_reachability.onFailure(Platform::ConfigTable);
+                if (!std::exchange(m_isWatchAbandoned, false)) {
+                    m_reachability.onFailure(Platform::ConfigTable);
+                }
                 co_await sleepFor(backoff.next());
             }
         }
@@ -231,6 +234,7 @@
         if (watchNumber != m_watchNumber || !m_watchCancellation) {
             return;
         }
+        m_isWatchAbandoned = true;
         m_metrics.add(Counter::WatchesAbandoned);
         EventLog::write(LogLevel::Warning, Event::WatchAbandoned, { { "table", Platform::ConfigTable }, { "reason", reason } });
         m_watchCancellation->request();
@@ -244,6 +248,7 @@
     RouteConfirmation m_confirmation;
     std::optional<uint64_t> m_storeVersion; /**< Version of the store that the routes reflect; empty if the table must be read again. */
     uint64_t m_watchNumber = 0; /**< Number of the last read or watch of the table. */
+    bool m_isWatchAbandoned = false; /**< The last watch was ended by this daemon, which is no failure of the store. */
     CancellationPtr m_watchCancellation; /**< Ends the watch in progress; null if there is none. */
     std::shared_ptr<const RouteTable> m_routes;
     std::string m_text;
