--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -43,6 +43,8 @@
 class ClusterSync
 {
 public:
+    /** Name of the table that holds the VM records. */
+    static constexpr const char *VmTableName = OwnRecord<typename Platform::Dialect>::TableName;
     /**
      * Mean interval between two reads of the VM table. Each interval is varied by 25 % so that daemons don't read at the same time. The
      * interval is long because changes arrive from datagrams and peers, and each call to the store is billed.
@@ -179,9 +181,9 @@
         Backoff backoff;
         int reads = 0;
         while (true) {
-            const auto rows = co_await m_store.scan(OwnRecord<typename Platform::Dialect>::TableName);
+            const auto rows = co_await m_store.scan(VmTableName);
             if (!rows) {
-                m_storeReachability.onFailure(OwnRecord<typename Platform::Dialect>::TableName);
+                m_storeReachability.onFailure(VmTableName);
                 co_await sleepFor(backoff.next());
                 continue;
             }
@@ -243,7 +245,7 @@
             if (m_unreadableKeys.count(read.unreadable[i]) == 0) {
                 EventLog::write(LogLevel::Warning,
                                 Event::ConfigRejected,
-                                { { "table", OwnRecord<typename Platform::Dialect>::TableName },
+                                { { "table", VmTableName },
                                   { "key", read.unreadable[i] },
                                   { "reason", "unreadable row: " + read.errors[i] } });
             }
