Format ClusterSync

Cause: a line became short enough to be joined when the name of the VM table was shortened. Change: clang-format only.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -245,9 +245,7 @@
             if (m_unreadableKeys.count(read.unreadable[i]) == 0) {
                 EventLog::write(LogLevel::Warning,
                                 Event::ConfigRejected,
-                                { { "table", VmTableName },
-                                  { "key", read.unreadable[i] },
-                                  { "reason", "unreadable row: " + read.errors[i] } });
+                                { { "table", VmTableName }, { "key", read.unreadable[i] }, { "reason", "unreadable row: " + read.errors[i] } });
             }
         }
         m_unreadableKeys = { read.unreadable.begin(), read.unreadable.end() };
