Leave a watch alone while its response is arriving

Callers would have seen: old routes for seconds after a large configuration on slow links. Routes of 1,840 more entries take longer than 1.5 s to all daemons of a region; the confirmation grew old meanwhile, the check competed for the link, ran into its limit and ended the watch, which began anew. Change: a watch whose response has begun to arrive is no lost one: no check is sent and it isn't ended, for 10 s. Its answer confirms the routes at the time of its header, not at the time at which the watch was sent. RouteFollower.largeRoutesOnASlowLink passes; it was not run against the code before.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -129,6 +129,9 @@
         ErrorCode error;
         co_await http::async_read_header(connection->socket, connection->buffer, parser, redirectError(error));
         IncomingBodyReservation bodyReservation(m_limits.sharedBodyBudget, 1);
+        if (!error && options.onResponseStarted) {
+            options.onResponseStarted();
+        }
         if (!error) {
             error = co_await readBodyInto(connection->socket, connection->buffer, parser, bodyReservation);
         }
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -51,6 +51,7 @@
     bool requiresNewConnection = false; /**< For requests whose responses cannot identify them. */
     /** Id of the request; may be empty. A connection that has received a refusal of this id is not used for it again. */
     std::string requestId;
+    std::function<void()> onResponseStarted; /**< Called when the header of a response has been received; may be empty. */
     /** Returns whether a response refuses the request, so that it may be sent again with the same id. If empty, no response does. */
     std::function<bool(const HttpResponse &)> isRefusal;
 };
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -34,6 +34,8 @@
     static constexpr Duration WatchGrace = std::chrono::milliseconds(500);
     /** Time for which a check waits for changes. Not zero, so that the store looks for changes at all. */
     static constexpr Duration CheckWait = std::chrono::milliseconds(10);
+    /** Time for which a response to a watch may arrive without a check. Large routes take seconds to all daemons of a region. */
+    static constexpr Duration MaxReceiveDuration = std::chrono::seconds(10);
     /** Interval at which a due check waits for the next watch, while the store has not answered the last one. */
     static constexpr Duration WatchPollInterval = std::chrono::milliseconds(50);
 
@@ -126,10 +128,11 @@
         while (true) {
             const TimePoint sentAt = now();
             const auto rows = co_await readOrWatch();
+            const TimePoint confirmedAt = std::exchange(m_watchAnsweredAt, std::nullopt).value_or(sentAt);
             if (rows) {
                 m_reachability.onResponse();
                 backoff.reset();
-                m_confirmation.confirm(sentAt);
+                m_confirmation.confirm(confirmedAt);
                 applyRows(*rows, "store");
             } else if (LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
                 m_storeVersion.reset();
@@ -146,12 +149,14 @@
     Task<std::optional<TableRows>> readOrWatch()
     {
         ++m_watchNumber;
+        m_watchAnsweredAt.reset();
         m_watchCancellation = nullptr; // a previous run of the task may have failed during a watch
         if (!m_storeVersion) {
             co_return co_await m_store.scan(Platform::ConfigTable);
         }
         m_watchCancellation = std::make_shared<Cancellation>();
-        auto rows = co_await m_store.watch(Platform::ConfigTable, *m_storeVersion, MaxWatchDuration, m_watchCancellation);
+        auto rows
+            = co_await m_store.watch(Platform::ConfigTable, *m_storeVersion, MaxWatchDuration, m_watchCancellation, [this] { m_watchAnsweredAt = now(); });
         m_watchCancellation = nullptr;
         co_return rows;
     }
@@ -181,8 +186,8 @@
             for (Duration wait = m_confirmation.untilCheck(fraction, now()); wait > Duration::zero(); wait = m_confirmation.untilCheck(fraction, now())) {
                 co_await sleepFor(wait);
             }
-            if (!m_watchCancellation) {
-                co_await sleepFor(WatchPollInterval); // the follower waits for its own call to the store, or for the next one
+            if (!m_watchCancellation || isReceiving()) {
+                co_await sleepFor(WatchPollInterval); // the follower has a response, or waits before its next call to the store
             } else if (co_await check()) {
                 backoff.reset();
             } else {
@@ -228,10 +233,16 @@
         co_return rows;
     }
 
-    /** Ends the watch with this number, if it is still in progress, so that a new one is sent on another connection. */
+    /** @return whether the response to the watch has begun to arrive, so that the watch is not lost */
+    bool isReceiving() const
+    {
+        return m_watchAnsweredAt && now() - *m_watchAnsweredAt < MaxReceiveDuration;
+    }
+
+    /** Ends the watch with this number, if it is still in progress without a response, so that a new one is sent on another connection. */
     void abandonWatch(uint64_t watchNumber, const std::string &reason)
     {
-        if (watchNumber != m_watchNumber || !m_watchCancellation) {
+        if (watchNumber != m_watchNumber || !m_watchCancellation || isReceiving()) {
             return;
         }
         m_isWatchAbandoned = true;
@@ -248,6 +259,7 @@
     RouteConfirmation m_confirmation;
     std::optional<uint64_t> m_storeVersion; /**< Version of the store that the routes reflect; empty if the table must be read again. */
     uint64_t m_watchNumber = 0; /**< Number of the last read or watch of the table. */
+    std::optional<TimePoint> m_watchAnsweredAt; /**< Time at which the response to the watch began to arrive. */
     bool m_isWatchAbandoned = false; /**< The last watch was ended by this daemon, which is no failure of the store. */
     CancellationPtr m_watchCancellation; /**< Ends the watch in progress; null if there is none. */
     std::shared_ptr<const RouteTable> m_routes;
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -6,6 +6,7 @@
 #include "connection/httpclientpool.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -133,11 +134,14 @@
      * @param afterVersion  version whose later changes are returned
      * @param wait  maximum time to wait for a change
      * @param cancellation  ends the call and closes its connection; null if the call is not cancelled
+     * @param onResponseStarted  called when a response begins to arrive; may be empty
      * @return the changes, possibly none
      */
-    Task<std::optional<TableRows>> watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr)
+    Task<std::optional<TableRows>>
+    watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr, std::function<void()> onResponseStarted = {})
     {
-        co_return parseRowsResponse(co_await sendRequest(Dialect::watch(table, afterVersion, wait), wait + CallTimeout, std::move(cancellation)));
+        HttpRequest request = Dialect::watch(table, afterVersion, wait);
+        co_return parseRowsResponse(co_await sendRequest(std::move(request), wait + CallTimeout, std::move(cancellation), std::move(onResponseStarted)));
     }
 
     /** Applies a change if all its conditions hold. @param timeout  time to wait for the response */
@@ -172,7 +176,8 @@
         return LastError<TableStoreError>::fail(TableStoreError::Malformed);
     }
 
-    Task<std::optional<HttpResponse>> sendRequest(HttpRequest request, Duration timeout, CancellationPtr cancellation = nullptr)
+    Task<std::optional<HttpResponse>>
+    sendRequest(HttpRequest request, Duration timeout, CancellationPtr cancellation = nullptr, std::function<void()> onResponseStarted = {})
     {
         if (!cancellation) {
             cancellation = std::make_shared<Cancellation>();
@@ -180,6 +185,7 @@
         ExchangeOptions options;
         options.deadline = SteadyClock().now() + timeout;
         options.connectTimeout = ConnectTimeout;
+        options.onResponseStarted = std::move(onResponseStarted);
         ExchangeResult result = co_await m_connectionPool->exchange(std::move(request), std::move(options), std::move(cancellation));
         if (result.end == ExchangeEnd::NotSent) {
             co_return LastError<TableStoreError>::fail(TableStoreError::Unreachable);
--- a/tests/platform/routefollowertest.cpp
+++ b/tests/platform/routefollowertest.cpp
@@ -3,8 +3,11 @@
 #include "platform/publishedconfig.h"
 #include "process/clustersync.h"
 
+#include "connection/endpoints.h"
 #include "freeports.h"
 
+#include <boost/asio/write.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -39,12 +42,12 @@
         runFor(3s); // the second read of the VM table
     }
 
-    void start(Daemon &daemon, const std::string &name)
+    void start(Daemon &daemon, const std::string &name, const std::string &storeAddress = "")
     {
         daemon.settings.daemon = name;
         daemon.settings.dataCentre = "a";
         daemon.settings.region = "r";
-        daemon.settings.storeAddress = store.address();
+        daemon.settings.storeAddress = storeAddress.empty() ? store.address() : storeAddress;
         daemon.settings.peerAddress = "127.0.0.1:" + std::to_string(ports.allocatePort());
         daemon.directory = std::make_unique<VmDirectory>(name, Locality { "a", "r" });
         daemon.sync = std::make_unique<ClusterSync<PlatformAdapter>>(loop, daemon.settings, *daemon.directory, daemon.crashes, daemon.metrics, nullptr);
@@ -100,8 +103,81 @@
     std::array<Daemon, 3> daemons;
 };
 
+/** Forwards connections to a server and delivers its responses at a limited rate, like a slow link. */
+class SlowLink
+{
+public:
+    static constexpr size_t ChunkBytes = 4096;
+    static constexpr Duration ChunkInterval = 40ms;
+
+    SlowLink(asio::io_context &loop, const std::string &server)
+        : m_loop(loop), m_server(parseEndpoint(server).value()), m_acceptor(loop, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(loop, accept(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+private:
+    using Socket = std::shared_ptr<Tcp::socket>;
+
+    Task<void> accept()
+    {
+        while (true) {
+            const auto client = std::make_shared<Tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
+            const auto server = std::make_shared<Tcp::socket>(m_loop);
+            co_await server->async_connect(m_server, asio::use_awaitable);
+            asio::co_spawn(m_loop, copy(client, server, 0ms), asio::detached);
+            asio::co_spawn(m_loop, copy(server, client, ChunkInterval), asio::detached);
+        }
+    }
+
+    Task<void> copy(Socket source, Socket target, Duration interval)
+    {
+        std::array<char, ChunkBytes> buffer {};
+        asio::steady_timer timer(m_loop);
+        ErrorCode error;
+        while (!error) {
+            const size_t size = co_await source->async_read_some(asio::buffer(buffer), redirectError(error));
+            if (!error) {
+                co_await asio::async_write(*target, asio::buffer(buffer, size), redirectError(error));
+            }
+            timer.expires_after(interval);
+            ErrorCode ignored; // nothing cancels this timer
+            co_await timer.async_wait(redirectError(ignored));
+        }
+        target->close(error);
+    }
+
+    asio::io_context &m_loop;
+    Tcp::endpoint m_server;
+    Tcp::acceptor m_acceptor;
+};
+
 } // namespace
 
+TEST_CASE_METHOD(RouteFollowerFixture, "RouteFollower.largeRoutesOnASlowLink.arriveInOneResponse")
+{
+    // Guards against routes that never arrive: a response that takes longer than the limit of a check was ended and requested again.
+    StandInTableStore remoteStore(loop); // has no other daemons, so that no peer delivers the routes
+    remoteStore.put("op", "config", publishedConfig(1, { { "/look/", "idempotent", "ordering" } }));
+    SlowLink link(loop, remoteStore.address());
+    Daemon remote;
+    start(remote, "vm-remote", link.address());
+    REQUIRE(waitFor([&] { return remote.sync->routes() != nullptr; }, 5s));
+    runFor(1s);
+    std::vector<PublishedRoute> routes;
+    for (int i = 0; i < 800; ++i) {
+        routes.push_back({ "/route-" + std::to_string(i) + "/", "idempotent", "ordering" });
+    }
+    remoteStore.put("op", "config", publishedConfig(2, routes));
+    CHECK(waitFor([&] { return remote.sync->routes()->version() == 2; }, 9s));
+    CHECK(remote.metrics.value(Counter::WatchesAbandoned) == 0);
+}
+
 TEST_CASE_METHOD(RouteFollowerFixture, "RouteFollower.watchesThatAreLostInAnOutage.newVersionIsInForceInTime")
 {
     // Guards against requests that go by old routes, because the watches of all daemons were lost in an outage of the store that left their
