Refuse answers whose status HTTP does not define

What callers saw: a backend server that answered with status 000 had its answer passed on, whole, with its seal: the caller got "HTTP/1.1 0". Through carobjunctiond the caller got 502 with outcome "ran" and no reason.

Cause: Beast's parser takes any three digits for a status. Neither program looked at the number; RequestRouter treated everything below 500 as a success, and CallerServer took a CallResult with status 0 for one without an answer.

Change: ResponseParser decides without a connection whether received bytes are a response, and now refuses a status outside 100 to 599. HttpClientPool reads all responses through it, so the backend client of both programs, peers, the table store and probes share the decision. Such an exchange ends as Malformed: the outcome is unknown, the reason is answer-malformed (new), the caller gets 502, the connection is closed, and event 2007 names the defect and the server. What Beast's parser refuses is reported as Malformed too. Event 2007 is written by the pool for every discarded response, in place of TargetService.

Two tests that expected ResponseLost for garbage expect Malformed now: they check as much, with the more precise end.

--- a/include/carobjunction/request/attemptplanner.h
+++ b/include/carobjunction/request/attemptplanner.h
@@ -207,7 +207,7 @@
         m_unknownResult = result;
         m_attemptedTargets.push_back(attempt.target);
         m_permanentlyExcluded.push_back(attempt.target);
-        m_isNextExclusive = m_isNextExclusive || result.reason == Reason::AnswerLost;
+        m_isNextExclusive = m_isNextExclusive || maySignalCrash(result.reason);
         m_nextAttemptKind = AttemptKind::Retry;
         m_hasRetryToken = false;
     }
--- a/include/carobjunction/request/reason.h
+++ b/include/carobjunction/request/reason.h
@@ -37,6 +37,7 @@
     AdaptiveLimit = 27, /**< The adaptive concurrency limit of the target is reached. */
     HostSlow = 28, /**< Requests currently run slowly on the target's VM. */
     BodyRoom = 29, /**< The entry daemon lacked memory for the request body. Not sent between daemons. */
+    AnswerMalformed = 30, /**< The backend server sent bytes that are not a well-formed answer. */
 };
 
 template<>
@@ -72,7 +73,14 @@
         { Reason::AdaptiveLimit, "adaptive-limit" },
         { Reason::HostSlow, "host-slow" },
         { Reason::BodyRoom, "body-room" },
+        { Reason::AnswerMalformed, "answer-malformed" },
     };
 };
 
+/** @return whether a reason for an unknown outcome may be the first sign that the backend server has crashed */
+constexpr bool maySignalCrash(Reason reason)
+{
+    return reason == Reason::AnswerLost || reason == Reason::AnswerMalformed;
+}
+
 } // namespace carobjunction
--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -109,13 +109,13 @@
     case ExchangeEnd::TooLarge:
         return resultWithoutResponse(Outcome::Ran, Reason::AnswerTooLarge);
     case ExchangeEnd::TimedOut:
-        return resultWithoutResponse(Outcome::Unknown, Reason::DeadlineExceeded);
     case ExchangeEnd::ResponseLost:
     case ExchangeEnd::Unverified:
+    case ExchangeEnd::Malformed:
     case ExchangeEnd::Cancelled:
         break;
     }
-    return resultWithoutResponse(Outcome::Unknown, Reason::AnswerLost);
+    return resultWithoutResponse(Outcome::Unknown, reasonForEnd(exchange.end));
 }
 
 } // namespace
@@ -206,7 +206,8 @@
             return false;
         }
         // A time-out means that the process is busy. A connection closed without a response may mean that the process is exiting, so check again.
-        if (result.end == ExchangeEnd::Answered || result.end == ExchangeEnd::TimedOut || result.end == ExchangeEnd::NotSent) {
+        if (result.end == ExchangeEnd::Answered || result.end == ExchangeEnd::TimedOut || result.end == ExchangeEnd::NotSent
+            || result.end == ExchangeEnd::Malformed) {
             return true;
         }
         std::this_thread::sleep_for(ConnectRetryDelay);
--- a/src/connection/callerserver.cpp
+++ b/src/connection/callerserver.cpp
@@ -103,6 +103,7 @@
         return 508;
     case Reason::AnswerLost:
     case Reason::AnswerTooLarge:
+    case Reason::AnswerMalformed:
         return 502;
     default:
         return outcome == Outcome::NotRun ? 503 : 502;
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -4,11 +4,14 @@
 
 #include "connection/connectiontimer.h"
 #include "connection/detachedtask.h"
+#include "connection/endpoints.h"
 #include "connection/incomingbodyreservation.h"
+#include "connection/responseparser.h"
 #include "connection/socketoptions.h"
+#include "process/eventlog.h"
 
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <charconv>
@@ -24,6 +27,7 @@
 constexpr size_t MaxSequentialBodyBytes = 16U << 10U;
 constexpr uint32_t MaxHeaderBytes = 64U << 10U;
 constexpr size_t MaxUnparsedBytes = size_t { 2 } * MaxHeaderBytes; // includes chunk headers and trailers
+constexpr size_t MaxReadBytes = 64U << 10U;
 constexpr int MaxInterimResponses = 8; // 1xx responses that are skipped before the final response
 constexpr int MaxUnmatchedResponses = 4; // responses to other requests that are skipped in one exchange
 constexpr size_t MaxRefusedRequestHashes = 256; // stored per connection, 8 bytes each; a connection with more is closed
@@ -42,8 +46,32 @@
     return error == bodyBudgetExhausted() || error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow;
 }
 
+ExchangeEnd endAfterError(const ErrorCode &error)
+{
+    if (isResponseDefect(error)) {
+        return ExchangeEnd::Malformed;
+    }
+    return exceedsResponseLimit(error) ? ExchangeEnd::TooLarge : ExchangeEnd::ResponseLost;
+}
+
 } // namespace
 
+Reason reasonForEnd(ExchangeEnd end)
+{
+    switch (end) {
+    case ExchangeEnd::TimedOut:
+        return Reason::DeadlineExceeded;
+    case ExchangeEnd::Cancelled:
+        return Reason::Cancelled;
+    case ExchangeEnd::TooLarge:
+        return Reason::AnswerTooLarge;
+    case ExchangeEnd::Malformed:
+        return Reason::AnswerMalformed;
+    default:
+        return Reason::AnswerLost;
+    }
+}
+
 struct HttpClientPool::Connection {
     explicit Connection(asio::io_context &loop) : socket(loop)
     {
@@ -69,6 +97,7 @@
     std::unordered_set<size_t> refusedRequestHashes; /**< Hashes of the ids of requests whose refusals were received on this connection. */
     TimePoint idleDeadline;
     uint64_t responsesRead = 0; /**< Responses received on this connection, including those to other requests. */
+    bool hasPartialResponse = false; /**< Whether the latest response has begun to arrive and is not complete. */
     bool isReusable = false;
     bool hasTimedOut = false;
 };
@@ -118,37 +147,76 @@
     co_return connection;
 }
 
+/** Reads what has arrived on a connection, or waits for it. */
+Task<ErrorCode> HttpClientPool::receiveBytes(ConnectionPtr connection)
+{
+    const size_t size = beast::read_size(connection->buffer, MaxReadBytes);
+    if (size == 0) {
+        co_return http::make_error_code(http::error::buffer_overflow);
+    }
+    ErrorCode error;
+    const size_t received = co_await connection->socket.async_read_some(connection->buffer.prepare(size), redirectError(error));
+    connection->buffer.commit(received);
+    co_return error;
+}
+
+/** Reads one response, and reserves memory for each part of its body before it reads the next one. */
+Task<ErrorCode> HttpClientPool::readResponse(ConnectionPtr connection,
+                                             ResponseParser &parser,
+                                             IncomingBodyReservation &bodyReservation,
+                                             const std::function<void()> &onHeadComplete)
+{
+    while (!parser.isComplete()) {
+        const bool wasHeadComplete = parser.isHeadComplete();
+        const auto unparsed = connection->buffer.data();
+        ErrorCode error;
+        const size_t consumed = parser.parse({ static_cast<const char *>(unparsed.data()), unparsed.size() }, error);
+        connection->buffer.consume(consumed);
+        if (error) {
+            co_return error;
+        }
+        if (!wasHeadComplete && parser.isHeadComplete() && onHeadComplete) {
+            onHeadComplete();
+        }
+        if (!bodyReservation.growTo(parser.bodyBytes(), parser.isLengthKnown())) {
+            co_return bodyBudgetExhausted();
+        }
+        if (consumed > 0) {
+            continue;
+        }
+        error = co_await receiveBytes(connection);
+        if (error == asio::error::eof) {
+            co_return parser.finish();
+        }
+        if (error) {
+            co_return error;
+        }
+    }
+    co_return ErrorCode();
+}
+
 Task<ErrorCode> HttpClientPool::receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response)
 {
     int interim = 0;
     for (int unmatched = 0; unmatched < MaxUnmatchedResponses;) {
-        http::response_parser<http::string_body> parser;
-        parser.header_limit(MaxHeaderBytes);
-        parser.body_limit(options.maxBodyBytes);
-        parser.skip(request.method() == http::verb::head);
-        ErrorCode error;
-        co_await http::async_read_header(connection->socket, connection->buffer, parser, redirectError(error));
+        ResponseParser parser(MaxHeaderBytes, options.maxBodyBytes, request.method() == http::verb::head);
         IncomingBodyReservation bodyReservation(m_limits.sharedBodyBudget, 1);
-        if (!error && options.onResponseStarted) {
-            options.onResponseStarted();
-        }
-        if (!error) {
-            error = co_await readBodyInto(connection->socket, connection->buffer, parser, bodyReservation);
-        }
+        const ErrorCode error = co_await readResponse(connection, parser, bodyReservation, options.onResponseStarted);
+        connection->hasPartialResponse = error && parser.hasStarted();
         if (error) {
             co_return error;
         }
-        if (isInterim(parser.get())) {
+        const bool endsAtConnectionClose = parser.endsWithStream();
+        HttpResponse received = parser.release();
+        if (isInterim(received)) {
             if (++interim > MaxInterimResponses) {
                 break;
             }
             continue;
         }
-        const bool endsAtConnectionClose = parser.need_eof();
-        if (parser.get().result() == http::status::switching_protocols) {
+        if (received.result() == http::status::switching_protocols) {
             break;
         }
-        HttpResponse received(parser.release());
         received.bodyReservation = bodyReservation.complete(received.body().size());
         ++connection->responsesRead;
         if (!options.matchesRequest || options.matchesRequest(received)) {
@@ -217,6 +285,7 @@
         result.detail = "the response does not identify its request";
         result.response = {};
         connection->close();
+        logDiscardedResponse(options.requestId, result);
         co_return result;
     }
     if (!error) {
@@ -230,12 +299,23 @@
         co_return result;
     }
     result.detail = error.message();
-    const ExchangeEnd endAfterError = exceedsResponseLimit(error) ? ExchangeEnd::TooLarge : ExchangeEnd::ResponseLost;
-    result.end = cancellation->isRequested() ? ExchangeEnd::Cancelled : connection->hasTimedOut ? ExchangeEnd::TimedOut : endAfterError;
+    result.end = cancellation->isRequested() ? ExchangeEnd::Cancelled : connection->hasTimedOut ? ExchangeEnd::TimedOut : endAfterError(error);
     connection->close();
+    if (connection->hasPartialResponse && result.end != ExchangeEnd::Cancelled && result.end != ExchangeEnd::TimedOut) {
+        logDiscardedResponse(options.requestId, result);
+    }
     co_return result;
 }
 
+/** Logs why a response that has arrived, whole or in part, can't be used. */
+void HttpClientPool::logDiscardedResponse(const std::string &requestId, const ExchangeResult &result) const
+{
+    EventLog::write(
+        LogLevel::Warning,
+        Event::AnswerDiscarded,
+        { { "request", requestId }, { "server", toText(m_server) }, { "reason", std::string(nameOf(reasonForEnd(result.end))) }, { "detail", result.detail } });
+}
+
 void HttpClientPool::returnToPool(const ConnectionPtr &connection, const HttpResponse &response)
 {
     if (!connection->isReusable || connection->refusedRequestHashes.size() > MaxRefusedRequestHashes
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <carobjunction/process/clock.h>
+#include <carobjunction/request/reason.h>
 
 #include "connection/asio.h"
 #include "connection/bodybudget.h"
@@ -14,6 +15,9 @@
 namespace carobjunction
 {
 
+class IncomingBodyReservation;
+class ResponseParser;
+
 /** Outcome of an HTTP exchange. */
 enum class ExchangeEnd {
     Answered, /**< A complete response was received. */
@@ -21,10 +25,14 @@
     ResponseLost, /**< No complete response was received; the request may have been delivered. */
     Unverified, /**< Like ResponseLost, but the response does not identify its request and may belong to an earlier request. */
     TooLarge, /**< Like ResponseLost, but the response exceeded a size limit or the body budget. */
+    Malformed, /**< Like ResponseLost, but the bytes received are not a well-formed response. */
     TimedOut, /**< Like ResponseLost, but the deadline passed. */
     Cancelled, /**< Like ResponseLost, but the exchange was cancelled, because the caller closed its connection. */
 };
 
+/** @return the reason for the unknown outcome of a request whose exchange ended without an answer, after a part of the request may have been sent */
+Reason reasonForEnd(ExchangeEnd end);
+
 /** Result of an HTTP exchange. */
 struct ExchangeResult {
     ExchangeEnd end = ExchangeEnd::NotSent;
@@ -102,6 +110,10 @@
     sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
     static Task<void> sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> isSent);
     Task<ErrorCode> receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
+    static Task<ErrorCode> receiveBytes(ConnectionPtr connection);
+    Task<ErrorCode>
+    readResponse(ConnectionPtr connection, ResponseParser &parser, IncomingBodyReservation &bodyReservation, const std::function<void()> &onHeadComplete);
+    void logDiscardedResponse(const std::string &requestId, const ExchangeResult &result) const;
     void returnToPool(const ConnectionPtr &connection, const HttpResponse &response);
 
     asio::io_context &m_loop;
--- a/src/connection/incomingbodyreservation.h
+++ b/src/connection/incomingbodyreservation.h
@@ -64,10 +64,9 @@
     uint64_t m_copies;
 };
 
-/** Receives the body of a message whose header has been parsed, and reserves memory for each part before it reads the next one. */
-template<bool isRequest>
-Task<ErrorCode>
-readBodyInto(Tcp::socket &socket, beast::flat_buffer &buffer, http::parser<isRequest, http::string_body> &parser, IncomingBodyReservation &bodyReservation)
+/** Receives the body of a request whose header has been parsed, and reserves memory for each part before it reads the next one. */
+inline Task<ErrorCode>
+readBodyInto(Tcp::socket &socket, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, IncomingBodyReservation &bodyReservation)
 {
     ErrorCode error;
     parser.eager(true);
--- /dev/null
+++ b/src/connection/responseparser.cpp
@@ -0,0 +1,121 @@
+#include "connection/responseparser.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace carobjunction
+{
+
+namespace
+{
+
+constexpr unsigned MinStatusCode = 100;
+constexpr unsigned MaxStatusCode = 599;
+
+/** Error category whose values are those of ResponseDefect. */
+class ResponseDefectCategory : public boost::system::error_category
+{
+public:
+    const char *name() const noexcept override
+    {
+        return "response-defect";
+    }
+
+    std::string message(int value) const override
+    {
+        return std::string(nameOf(static_cast<ResponseDefect>(value)));
+    }
+};
+
+const ResponseDefectCategory &responseDefectCategory()
+{
+    static const ResponseDefectCategory category;
+    return category;
+}
+
+/** @return the defect that an error of Beast's parser describes, or the error itself if it describes none */
+ErrorCode toDefect(const ErrorCode &error)
+{
+    if (error.category() != http::make_error_code(http::error::bad_version).category()) {
+        return error;
+    }
+    switch (static_cast<http::error>(error.value())) {
+    case http::error::bad_version:
+    case http::error::bad_status:
+    case http::error::bad_reason:
+        return makeErrorCode(ResponseDefect::StatusLine);
+    case http::error::bad_line_ending:
+    case http::error::bad_field:
+    case http::error::bad_value:
+        return makeErrorCode(ResponseDefect::FieldLine);
+    case http::error::bad_content_length:
+        return makeErrorCode(ResponseDefect::ContentLength);
+    case http::error::bad_transfer_encoding:
+        return makeErrorCode(ResponseDefect::TransferCoding);
+    case http::error::bad_chunk:
+    case http::error::bad_chunk_extension:
+        return makeErrorCode(ResponseDefect::Chunk);
+    default:
+        return error;
+    }
+}
+
+} // namespace
+
+ErrorCode makeErrorCode(ResponseDefect defect)
+{
+    return { static_cast<int>(defect), responseDefectCategory() };
+}
+
+bool isResponseDefect(const ErrorCode &error)
+{
+    return error.category() == responseDefectCategory();
+}
+
+ResponseParser::ResponseParser(uint32_t maxHeaderBytes, uint64_t maxBodyBytes, bool answersHead)
+{
+    m_parser.header_limit(maxHeaderBytes);
+    m_parser.body_limit(maxBodyBytes);
+    m_parser.skip(answersHead);
+}
+
+size_t ResponseParser::parse(std::string_view bytes, ErrorCode &error)
+{
+    error = {};
+    const bool wasHeadComplete = isHeadComplete();
+    const size_t consumed = m_parser.put(asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (error == http::error::need_more) {
+        error = {};
+    }
+    if (!error && !wasHeadComplete && isHeadComplete()) {
+        error = checkHead();
+    }
+    error = toDefect(error);
+    return consumed;
+}
+
+/** Checks what Beast's parser accepts in a complete header. */
+ErrorCode ResponseParser::checkHead() const
+{
+    const unsigned status = m_parser.get().result_int();
+    if (status < MinStatusCode || status > MaxStatusCode) {
+        return makeErrorCode(ResponseDefect::StatusCode);
+    }
+    return {};
+}
+
+ErrorCode ResponseParser::finish()
+{
+    if (!hasStarted()) {
+        return http::make_error_code(http::error::end_of_stream);
+    }
+    ErrorCode error;
+    m_parser.put_eof(error);
+    return error;
+}
+
+HttpResponse ResponseParser::release()
+{
+    return HttpResponse(m_parser.release());
+}
+
+} // namespace carobjunction
--- a/src/process/admissionservice.cpp
+++ b/src/process/admissionservice.cpp
@@ -111,9 +111,9 @@
 
 void AdmissionService::recordOutcome(const AdmissionSession &session, const CallResult &result, bool ranAlone)
 {
-    const bool isAnswerLost = result.outcome == Outcome::Unknown && result.reason == Reason::AnswerLost;
-    m_crashDetector.onRequestFinished(session.m_ticket, isAnswerLost);
-    if (isAnswerLost) {
+    const bool mayHaveCrashed = result.outcome == Outcome::Unknown && maySignalCrash(result.reason);
+    m_crashDetector.onRequestFinished(session.m_ticket, mayHaveCrashed);
+    if (mayHaveCrashed) {
         checkForCrash();
     }
     if (result.outcome == Outcome::NotRun && result.reason == Reason::TargetDown) {
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -350,7 +350,7 @@
     if (end == ExchangeEnd::NotSent) {
         m_fingerprintsInFlight.erase(run); // the request did not run, so it can't have caused a crash
     }
-    if (end == ExchangeEnd::ResponseLost || end == ExchangeEnd::NotSent) {
+    if (end == ExchangeEnd::ResponseLost || end == ExchangeEnd::Malformed || end == ExchangeEnd::NotSent) {
         co_await checkForCrash();
     }
     co_return result;
@@ -361,14 +361,6 @@
     if (exchange.end == ExchangeEnd::Answered) {
         return classifyAnswer(request, std::move(exchange.response));
     }
-    if (exchange.end == ExchangeEnd::TooLarge) {
-        EventLog::write(LogLevel::Warning,
-                        Event::AnswerDiscarded,
-                        { { "request", request.requestId },
-                          { "backend", request.backend },
-                          { "reason", std::string(nameOf(Reason::AnswerTooLarge)) },
-                          { "detail", exchange.detail } });
-    }
     return ForwardResult::fromUnansweredExchange(exchange.end, Reason::TargetDown, std::move(exchange.detail));
 }
 
--- a/src/process/targettable.cpp
+++ b/src/process/targettable.cpp
@@ -12,6 +12,7 @@
     switch (report.reason) {
     case Reason::Shed:
     case Reason::AnswerLost:
+    case Reason::AnswerMalformed:
         return AttemptClass::Failure;
     case Reason::TargetDown:
     case Reason::PeerUnreachable:
--- a/src/request/forwarding.h
+++ b/src/request/forwarding.h
@@ -70,21 +70,6 @@
         return unknown(reasonForEnd(end), std::move(detail));
     }
 
-    /** @return the reason for which the outcome of an exchange is unknown */
-    static Reason reasonForEnd(ExchangeEnd end)
-    {
-        switch (end) {
-        case ExchangeEnd::TimedOut:
-            return Reason::DeadlineExceeded;
-        case ExchangeEnd::Cancelled:
-            return Reason::Cancelled;
-        case ExchangeEnd::TooLarge:
-            return Reason::AnswerTooLarge;
-        default:
-            return Reason::AnswerLost;
-        }
-    }
-
     /** @return the result of a request that may have run */
     static ForwardResult unknown(Reason reason, std::string detail = {})
     {
--- a/tests/connection/backendrawanswerstest.cpp
+++ b/tests/connection/backendrawanswerstest.cpp
@@ -183,3 +183,20 @@
     CHECK(call("r2", { { "Host", "ordering.example" } }).outcome == Outcome::Ran);
     CHECK(hostFieldCount == 1);
 }
+
+TEST_CASE_METHOD(BackendRawAnswersFixture, "BackendClient.statusThatHttpDoesNotDefine.isMalformed")
+{
+    // Guards against an answer that counts as run by the backend server, although its status says nothing.
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    CAPTURE(status);
+    answers = [status](const std::string &id, int) {
+        return "HTTP/1.1 " + status + " Trouble\r\nCarob-Request-Id: " + id + "\r\nContent-Length: 5\r\n\r\nwhole";
+    };
+    for (const std::string id : { "r1", "r2" }) {
+        const CallResult result = call(id);
+        CHECK(result.outcome == Outcome::Unknown);
+        CHECK(result.reason == Reason::AnswerMalformed);
+        CHECK(result.status == 0);
+    }
+    CHECK(server.connections == 2);
+}
--- a/tests/connection/endlessbytestest.cpp
+++ b/tests/connection/endlessbytestest.cpp
@@ -95,7 +95,7 @@
 
 TEST_CASE_METHOD(EndlessBytesFixture, "EndlessBytes.emptyLinesBeforeTheAnswer.endTheExchange")
 {
-    CHECK(runExchange("", "\r\n").end == ExchangeEnd::ResponseLost);
+    CHECK(runExchange("", "\r\n").end == ExchangeEnd::Malformed);
     CHECK(isConnectionClosed);
 }
 
--- a/tests/connection/httpclientpooltest.cpp
+++ b/tests/connection/httpclientpooltest.cpp
@@ -47,10 +47,10 @@
     CHECK(result.response.body() == "whole body");
 }
 
-TEST_CASE_METHOD(HttpExchangeFixture, "HttpClientPool.malformedAnswer.isLost")
+TEST_CASE_METHOD(HttpExchangeFixture, "HttpClientPool.malformedAnswer.endsTheExchangeAsMalformed")
 {
     ScriptedServer server(loop, { "garbage\r\n\r\n<end>" });
-    CHECK(exchange(*pool(server)).end == ExchangeEnd::ResponseLost);
+    CHECK(exchange(*pool(server)).end == ExchangeEnd::Malformed);
 }
 
 TEST_CASE_METHOD(HttpExchangeFixture, "HttpClientPool.silentServer.timesOutAtTheDeadline")
--- /dev/null
+++ b/tests/platform/brokenanswerstest.cpp
@@ -0,0 +1,104 @@
+#include "platform/platformdaemonfixture.h"
+
+#include "connection/brokenanswerserver.h"
+
+#include <iterator>
+#include <set>
+
+using namespace carobjunction;
+using namespace carobjunction::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** Path of the daemons through which a request reaches the backend server. */
+enum class Via {
+    PeerDaemon,
+    OwnDaemon,
+};
+
+std::string answerHead(const std::string &status, const std::string &id)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal\r\nX-Server-Load: 0,0,9,100\r\n";
+}
+
+} // namespace
+
+/** The backend server of the second VM answers paths that contain "broken" with chosen bytes, and all others correctly. */
+struct BrokenAnswersFixture : PlatformDaemonFixture {
+    BrokenAnswersFixture() : server(loop, [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition position) { return answer(head, position); })
+    {
+        vms[1].daemon->kill();
+        vms[1].replacementBackendAddress = "127.0.0.1:" + std::to_string(server.address().port());
+        start(vms[1]);
+        REQUIRE(waitFor([&] { return getStatus(vms[1].ready, "/v1/readyz") == 200; }));
+        REQUIRE(sendHeartbeat(vms[1]) == 200);
+        REQUIRE(waitForLookups());
+    }
+
+    RawAnswer answer(const HttpRequest &head, BrokenAnswerServer::RequestPosition position)
+    {
+        const std::string id = fieldValue(head, "X-Attempt-Id");
+        const std::string path(head.target().data(), head.target().size());
+        requestsAfterBrokenAnswers += static_cast<int>(connectionsWithBrokenAnswer.count(position.connection));
+        if (path.find("broken") == std::string::npos) {
+            return { answerHead("200 OK", id) + "Content-Length: 2\r\n\r\nok" };
+        }
+        connectionsWithBrokenAnswer.insert(position.connection);
+        startedIds.insert(id);
+        wasConnectionKept = position.request > 1;
+        return brokenAnswer(id);
+    }
+
+    HttpResponse sendBroken(Via via, const std::string &route, const std::string &body)
+    {
+        HttpRequest message = request(http::verb::post, route + "broken");
+        message.body() = body;
+        lastId = fieldValue(message, "X-Attempt-Id");
+        return send(vms[via == Via::PeerDaemon ? 0 : 1].caller, message);
+    }
+
+    std::string ownerLog() const
+    {
+        std::ifstream file(vms[1].logFile);
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
+    /** Sends one request of each kind on a kept and on a new connection. Each must be answered 502, and only once sent to the backend server. */
+    void checkIsAnsweredWithBadGateway(const std::string &body = "")
+    {
+        for (const Via via : { Via::PeerDaemon, Via::OwnDaemon }) {
+            for (const std::string route : { "/look/", "/order/" }) {
+                REQUIRE(sendToFirstVm(http::verb::get, "/look/1").result_int() == 200);
+                for (const bool isKept : { true, false }) { // a broken answer ends the kept connection, so the second request opens a new one
+                    CAPTURE(static_cast<int>(via), route, isKept);
+                    const HttpResponse response = sendBroken(via, route, body);
+                    CHECK(response.result_int() == 502);
+                    CHECK(response.body().find("may have run: answer-") != std::string::npos);
+                    CHECK_FALSE(hasField(response, "X-Response-Seal"));
+                    CHECK(startedIds.count(lastId) == 1);
+                    CHECK(wasConnectionKept == isKept);
+                }
+            }
+        }
+        CHECK(requestsAfterBrokenAnswers == 0);
+    }
+
+    std::function<RawAnswer(const std::string &id)> brokenAnswer;
+    std::set<int> connectionsWithBrokenAnswer;
+    std::multiset<std::string> startedIds; /**< Ids of the requests to which a broken answer was sent. */
+    std::string lastId; /**< Id of the latest request that was to be answered with a broken answer. */
+    int requestsAfterBrokenAnswers = 0; /**< Requests that arrived on a connection after a broken answer. */
+    bool wasConnectionKept = false; /**< Whether the latest broken answer was sent on a connection that had carried another answer. */
+    BrokenAnswerServer server;
+};
+
+TEST_CASE_METHOD(BrokenAnswersFixture, "BrokenAnswers.statusZero.isAnsweredWithBadGateway")
+{
+    // Guards against a status that HTTP does not define and that reaches the caller as the answer of the backend server.
+    brokenAnswer = [](const std::string &id) {
+        return RawAnswer { answerHead("000 Trouble", id) + "Content-Length: 5\r\n\r\nwhole" };
+    };
+    checkIsAnsweredWithBadGateway();
+}
