Don't take a body that a reset cut off for a complete one

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete 200, with the seal, for orders and lookups alike.

Cause: the kernel reports a reset to one operation only. HttpClientPool writes an upload and reads the response at the same time; the event loop completes the write first, so the write got ECONNRESET and the read then saw the plain end of the stream, which completes a body without a length. The error of the write was dropped.

Evidence: BrokenAnswers.bodyWithoutLength with two real daemons, built on: in each of 6 combinations (reset after 0, 20 and 200 ms, before and after 100 kB of the upload were read) all 8 variants (idempotent or not, kept or new connection, through a peer or directly) were answered 200. With an upload of 3 MB, which fits into the send buffer, only the resets after 0 ms were: the write was over by then, and the read got the error.

Change: the connection keeps the error of its write, and ResponseParser is told how the stream ended. A body without a length is complete only after an orderly end. Before it decides, the pool lets queued handlers run, so that the error of a write that has failed is known. EPIPE is no reset: the kernel reports it if the peer had closed its side in order before, so that all bytes have arrived.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -96,6 +96,8 @@
     beast::flat_buffer buffer { MaxUnparsedBytes };
     std::unordered_set<size_t> refusedRequestHashes; /**< Hashes of the ids of requests whose refusals were received on this connection. */
     TimePoint idleDeadline;
+    bool isRequestSent = false; /**< Whether the latest request was sent completely. */
+    ErrorCode sendError; /**< Error that ended the sending of the latest request, or success. */
     uint64_t responsesRead = 0; /**< Responses received on this connection, including those to other requests. */
     bool hasPartialResponse = false; /**< Whether the latest response has begun to arrive and is not complete. */
     bool isReusable = false;
@@ -160,6 +162,18 @@
     co_return error;
 }
 
+/**
+ * Determines how the stream of a connection ended after its end was read. The kernel reports a reset to one operation only. If that was the
+ * sending of the request, reading shows nothing but the end of the stream.
+ */
+Task<StreamEnd> HttpClientPool::streamEnd(ConnectionPtr connection)
+{
+    co_await asio::post(m_loop, asio::use_awaitable); // a failed write may have completed, but its handler may still be queued
+    // After an orderly close by the peer, the kernel reports a reset as a broken pipe.
+    const bool isOrderly = !connection->sendError || connection->sendError == asio::error::broken_pipe;
+    co_return isOrderly ? StreamEnd::Orderly : StreamEnd::Reset;
+}
+
 /** Reads one response, and reserves memory for each part of its body before it reads the next one. */
 Task<ErrorCode> HttpClientPool::readResponse(ConnectionPtr connection,
                                              ResponseParser &parser,
@@ -186,7 +200,7 @@
         }
         error = co_await receiveBytes(connection);
         if (error == asio::error::eof) {
-            co_return parser.finish();
+            co_return parser.finish(co_await streamEnd(connection));
         }
         if (error) {
             co_return error;
@@ -232,29 +246,28 @@
     co_return http::make_error_code(http::error::unexpected_body);
 }
 
-Task<void> HttpClientPool::sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> isSent)
+Task<void> HttpClientPool::sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request)
 {
-    ErrorCode error;
-    co_await http::async_write(connection->socket, *request, redirectError(error));
-    *isSent = !error;
+    co_await http::async_write(connection->socket, *request, redirectError(connection->sendError));
+    connection->isRequestSent = !connection->sendError;
 }
 
 Task<ErrorCode>
 HttpClientPool::sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response)
 {
+    connection->isRequestSent = false;
+    connection->sendError = {};
     if (request->body().size() <= MaxSequentialBodyBytes) {
-        ErrorCode error;
-        co_await http::async_write(connection->socket, *request, redirectError(error));
-        if (error) {
-            co_return error;
+        co_await sendRequest(connection, request);
+        if (connection->sendError) {
+            co_return connection->sendError;
         }
         co_return co_await receiveResponse(connection, *request, options, response);
     }
-    const auto isSent = std::make_shared<bool>(false);
     // The request is shared, because this coroutine returns when the response is complete, possibly before the request is sent.
-    spawnDetached(m_loop, "send-request", sendRequest(connection, request, isSent));
+    spawnDetached(m_loop, "send-request", sendRequest(connection, request));
     const ErrorCode error = co_await receiveResponse(connection, *request, options, response);
-    connection->isReusable = connection->isReusable && *isSent;
+    connection->isReusable = connection->isReusable && connection->isRequestSent;
     co_return error;
 }
 
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -17,6 +17,7 @@
 
 class IncomingBodyReservation;
 class ResponseParser;
+enum class StreamEnd;
 
 /** Outcome of an HTTP exchange. */
 enum class ExchangeEnd {
@@ -108,9 +109,10 @@
     Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, ExchangeResult &result);
     Task<ErrorCode>
     sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
-    static Task<void> sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, std::shared_ptr<bool> isSent);
+    static Task<void> sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request);
     Task<ErrorCode> receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
     static Task<ErrorCode> receiveBytes(ConnectionPtr connection);
+    Task<StreamEnd> streamEnd(ConnectionPtr connection);
     Task<ErrorCode>
     readResponse(ConnectionPtr connection, ResponseParser &parser, IncomingBodyReservation &bodyReservation, const std::function<void()> &onHeadComplete);
     void logDiscardedResponse(const std::string &requestId, const ExchangeResult &result) const;
--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -1,5 +1,6 @@
 #include "connection/responseparser.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace carobjunction
@@ -103,8 +104,11 @@
     return {};
 }
 
-ErrorCode ResponseParser::finish()
+ErrorCode ResponseParser::finish(StreamEnd end)
 {
+    if (end == StreamEnd::Reset) {
+        return asio::error::connection_reset;
+    }
     if (!hasStarted()) {
         return http::make_error_code(http::error::end_of_stream);
     }
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -11,6 +11,12 @@
 namespace carobjunction
 {
 
+/** How the stream of a connection ended. */
+enum class StreamEnd {
+    Orderly, /**< The peer has closed its side after its last byte. */
+    Reset, /**< The connection was reset or broke down, so that bytes may be missing. */
+};
+
 /** Way in which the bytes of a server break the message format of HTTP/1 (RFC 9112). */
 enum class ResponseDefect {
     StatusLine = 1, /**< The status line can't be parsed. */
@@ -61,8 +67,8 @@
      */
     size_t parse(std::string_view bytes, ErrorCode &error);
 
-    /** Processes the end of the stream. @return an error unless the response is complete */
-    ErrorCode finish();
+    /** Processes the end of the stream. @return an error unless the response is complete. Only an orderly end completes a body without a length */
+    ErrorCode finish(StreamEnd end);
 
     /** @return whether a byte of the response was parsed */
     bool hasStarted() const
--- a/tests/connection/brokenanswerserver.h
+++ b/tests/connection/brokenanswerserver.h
@@ -2,6 +2,8 @@
 
 #include "connection/answerframings.h"
 
+#include <carobjunction/process/clock.h>
+
 #include "connection/asio.h"
 #include "connection/messagefields.h"
 
--- a/tests/connection/responseparsertest.cpp
+++ b/tests/connection/responseparsertest.cpp
@@ -1,5 +1,7 @@
 #include "connection/responseparser.h"
 
+#include <boost/asio/error.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace carobjunction;
@@ -40,7 +42,7 @@
             } while (consumed > 0 && !parser.isComplete() && !result.error);
         }
         if (!result.error && !parser.isComplete()) {
-            result.error = parser.finish();
+            result.error = parser.finish(end);
         }
         result.isComplete = !result.error && parser.isComplete();
         if (result.isComplete) {
@@ -72,6 +74,7 @@
         }
     }
 
+    StreamEnd end = StreamEnd::Orderly;
     bool answersHead = false; /**< Whether the request has the method HEAD. */
 };
 
@@ -104,3 +107,19 @@
         checkHasDefect(line + "\r\nContent-Length: 0\r\n\r\n", ResponseDefect::StatusLine);
     }
 }
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.bodyWithoutLength.isCompleteOnlyAtAnOrderlyEnd")
+{
+    const std::string stream = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    checkHasBody(stream, "whole");
+    end = StreamEnd::Reset;
+    CHECK(parse(stream, stream.size()).error == asio::error::connection_reset);
+    CHECK(parse(stream, 1).error == asio::error::connection_reset);
+}
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.resetAfterACompleteResponse.doesNotChangeIt")
+{
+    end = StreamEnd::Reset;
+    checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "whole");
+    checkHasBody("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole");
+}
--- a/tests/platform/brokenanswerstest.cpp
+++ b/tests/platform/brokenanswerstest.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr size_t UploadBytes = 8U << 20U; // more than the kernel buffers on the way, so that the daemon is still writing it
+
 /** Path of the daemons through which a request reaches the backend server. */
 enum class Via {
     PeerDaemon,
@@ -102,3 +104,15 @@
     };
     checkIsAnsweredWithBadGateway();
 }
+
+TEST_CASE_METHOD(BrokenAnswersFixture, "BrokenAnswers.bodyWithoutLengthResetDuringTheUpload.isAnsweredWithBadGateway")
+{
+    // Guards against a part of a body that counts as complete, because the write of the upload took the only report of the reset.
+    const Duration delay = GENERATE(0ms, 20ms, 200ms);
+    const size_t uploadBefore = GENERATE(size_t { 0 }, size_t { 100'000 });
+    CAPTURE(delay.count(), uploadBefore);
+    brokenAnswer = [=](const std::string &id) {
+        return RawAnswer { answerHead("200 OK", id) + "\r\na part", ConnectionEnd::Reset, uploadBefore, 0, delay };
+    };
+    checkIsAnsweredWithBadGateway(std::string(UploadBytes, 'u'));
+}
