Refuse answers with a header line that starts with a blank

What callers saw: a backend server in trouble sent an answer in whose head the name of a field began with a blank (space or tab). The caller got it as an answer, with that line passed on at the end of the value of the field before it. If the line was Content-Length or Transfer-Encoding, the caller also got a body that was not the server's: framing bytes, or whatever came until the close.

Cause: a line that starts with a blank is an obsolete continuation of the line before it, and Beast's parser joins the two. RFC 9112 (5.2) has a proxy discard such an answer, or replace the fold; here it may as well be a garbled field.

Change: ResponseParser looks at the lines of the head before Beast's parser joins them, and refuses the response as FoldedLine.

Result: ResponseParser.anyByteThatNoFieldNameMayHold (all 256 bytes, replaced and inserted, at each place of five names, as first, middle and last line, whole and byte by byte) and BrokenAnswers.* pass.

--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -11,6 +11,7 @@
 
 constexpr unsigned MinStatusCode = 100;
 constexpr unsigned MaxStatusCode = 599;
+constexpr std::string_view LineEnd = "\r\n";
 
 /** Error category whose values are those of ResponseDefect. */
 class ResponseDefectCategory : public boost::system::error_category
@@ -60,6 +61,27 @@
     }
 }
 
+/**
+ * Finds a line that Beast's parser takes for a continuation of the line before it (RFC 9112, 5.2). The name of a field whose first byte was
+ * garbled looks the same, so such a line may be of any field, also of one that frames the body.
+ * @param lines  lines up to and beyond the empty line that ends them; the last one may be incomplete
+ * @return whether a line after the first one starts with a blank
+ */
+bool hasFoldedLine(std::string_view lines)
+{
+    while (!lines.starts_with(LineEnd)) {
+        const size_t end = lines.find(LineEnd);
+        if (end == std::string_view::npos) {
+            return false;
+        }
+        lines.remove_prefix(end + LineEnd.size());
+        if (lines.starts_with(' ') || lines.starts_with('\t')) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 ErrorCode makeErrorCode(ResponseDefect defect)
@@ -83,6 +105,10 @@
 {
     error = {};
     const bool wasHeadComplete = isHeadComplete();
+    if (!wasHeadComplete && hasFoldedLine(bytes)) {
+        error = makeErrorCode(ResponseDefect::FoldedLine);
+        return 0;
+    }
     const size_t consumed = m_parser.put(asio::const_buffer(bytes.data(), bytes.size()), error);
     if (error == http::error::need_more) {
         error = {};
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -22,6 +22,7 @@
     StatusLine = 1, /**< The status line can't be parsed. */
     StatusCode, /**< The status code is outside the range that HTTP defines. */
     FieldLine, /**< A field name is no token, or a field value contains a control character. */
+    FoldedLine, /**< A line of the header starts with a blank: a garbled line, or an obsolete continuation of the line before it. */
     ContentLength, /**< The length of the body is no number, or there are several different ones. */
     TransferCoding, /**< The transfer coding stands beside a length. */
     Chunk, /**< The size or the end of a chunk is invalid. */
@@ -33,6 +34,7 @@
         { ResponseDefect::StatusLine, "malformed status line" },
         { ResponseDefect::StatusCode, "status code outside 100 to 599" },
         { ResponseDefect::FieldLine, "malformed field line" },
+        { ResponseDefect::FoldedLine, "field line that starts with a blank" },
         { ResponseDefect::ContentLength, "invalid length of the body" },
         { ResponseDefect::TransferCoding, "unsupported transfer coding" },
         { ResponseDefect::Chunk, "malformed chunk" },
--- a/tests/connection/responseparsertest.cpp
+++ b/tests/connection/responseparsertest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cctype>
+#include <cstring>
+
 using namespace carobjunction;
 
 namespace
@@ -15,12 +18,23 @@
     bool isComplete = false;
     HttpResponse response; /**< Set if the response is complete. */
 
+    bool hasDefect() const
+    {
+        return isResponseDefect(error);
+    }
+
     bool is(ResponseDefect defect) const
     {
         return error == makeErrorCode(defect);
     }
 };
 
+/** @return whether a byte may be part of the name of a field (RFC 9110, 5.6.2) */
+bool isTokenByte(char byte)
+{
+    return std::isalnum(static_cast<unsigned char>(byte)) != 0 || (byte != 0 && std::strchr("!#$%&'*+-.^_`|~", byte) != nullptr);
+}
+
 } // namespace
 
 /** Parses responses that arrive in pieces of a chosen size. */
@@ -123,3 +137,50 @@
     checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "whole");
     checkHasBody("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole");
 }
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.anyByteThatNoFieldNameMayHold.isADefectAtAnyPlace")
+{
+    // Guards against a garbled line that is passed on, or that no longer frames the body.
+    const std::string name = GENERATE("Order", "Content-Length", "Transfer-Encoding", "Connection", "Id");
+    const bool isInserted = GENERATE(false, true);
+    const std::string value = name == "Content-Length" ? "5" : name == "Transfer-Encoding" ? "chunked" : "close";
+    const std::string others = name == "Content-Length" || name == "Transfer-Encoding" ? "A: b\r\n" : "A: b\r\nContent-Length: 5\r\n";
+    const std::string body = name == "Transfer-Encoding" ? "5\r\nwhole\r\n0\r\n\r\n" : "whole";
+    for (int byte = 0; byte <= 0xff; ++byte) {
+        for (size_t place = 0; place < name.size() + (isInserted ? 1 : 0); ++place) {
+            const char garbage = static_cast<char>(byte);
+            if (isTokenByte(garbage) || (garbage == ':' && place > 0)) {
+                continue; // another valid name
+            }
+            std::string garbled = name;
+            garbled.replace(place, isInserted ? 0 : 1, 1, garbage);
+            const std::string line = garbled + ": " + value + "\r\n";
+            for (const std::string &lines : { line + others, others + line, "B: c\r\n" + line + others }) {
+                const std::string stream = "HTTP/1.1 200 OK\r\n" + lines + "\r\n" + body;
+                for (const size_t pieceBytes : { stream.size(), size_t { 1 } }) {
+                    CAPTURE(name, byte, place, lines, pieceBytes);
+                    REQUIRE(parse(stream, pieceBytes).hasDefect());
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.controlByteInAFieldValue.isADefect")
+{
+    for (int byte = 0; byte <= 0x7f; ++byte) {
+        const char control = static_cast<char>(byte);
+        const std::string stream = std::string("HTTP/1.1 200 OK\r\nOrder: a") + control + "b\r\nContent-Length: 5\r\n\r\nwhole";
+        const bool isAllowed = control == '\t' || (control >= ' ' && control != 0x7f);
+        CAPTURE(byte);
+        CHECK(parse(stream, stream.size()).isComplete == isAllowed);
+        CHECK(parse(stream, 1).hasDefect() == !isAllowed);
+    }
+}
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.blankInTheBodyOrInAValue.isNoFoldedLine")
+{
+    checkHasBody("HTTP/1.1 200 OK\r\nOrder:  a b\t \r\nContent-Length: 5\r\n\r\n hole", " hole");
+    checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nwho\r\n\tle", "who\r\n\tle");
+    checkHasBody("HTTP/1.1 200 OK\r\n\r\n whole\r\n and more", " whole\r\n and more");
+}
--- a/tests/platform/brokenanswerstest.cpp
+++ b/tests/platform/brokenanswerstest.cpp
@@ -116,3 +116,26 @@
     };
     checkIsAnsweredWithBadGateway(std::string(UploadBytes, 'u'));
 }
+
+TEST_CASE_METHOD(BrokenAnswersFixture, "BrokenAnswers.blankOrControlByteInAFieldName.isAnsweredWithBadGateway")
+{
+    // Guards against a line that starts with a blank and is taken for a continuation of the line before it, also if it frames the body.
+    const std::string line = GENERATE(" rder: 1\r\nContent-Length: 5\r\n",
+                                      "\tOrder: 1\r\nContent-Length: 5\r\n",
+                                      "Or der: 1\r\nContent-Length: 5\r\n",
+                                      "Order : 1\r\nContent-Length: 5\r\n",
+                                      "Or\x01"
+                                      "der: 1\r\nContent-Length: 5\r\n",
+                                      "\x7f"
+                                      "Order: 1\r\nContent-Length: 5\r\n",
+                                      " ontent-Length: 5\r\n",
+                                      "\tontent-Length: 5\r\n",
+                                      "Content-Length\x02: 5\r\n",
+                                      " ransfer-Encoding: chunked\r\n",
+                                      "Transfer Encoding: chunked\r\n");
+    CAPTURE(line);
+    brokenAnswer = [line](const std::string &id) {
+        return RawAnswer { answerHead("200 OK", id) + line + "\r\nwhole", ConnectionEnd::Close };
+    };
+    checkIsAnsweredWithBadGateway();
+}
