Decide on transfer codings and trailers of answers in the one parser

What callers could see: an answer with the codings "chunked, chunked", "identity", an unknown or an empty coding was read until its connection ended and passed on with the framing of its chunks as a body; one with "gzip, chunked" was passed on decoded from the chunks only. The fields of a trailer were added to the header: behind a chunked body, a field such as the platform's "not executed" could turn the answer of a request that ran into the proof that it had not.

Cause: Beast's parser reads an answer with a coding that it doesn't know to the end of the connection, looks at each Transfer-Encoding field alone, accepts codings in HTTP/1.0, and inserts trailer fields into the header.

Change: ResponseParser refuses an answer with a body unless its codings are none or "chunked" alone in HTTP/1.1, checks the lines of the trailer like those of the header, and drops the trailer (RFC 9110, 6.5.1, has a recipient discard fields that it may not merge). transferCoding() holds what requests and answers have in common; framingError() maps it to the status for a request, as before.

--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -1,5 +1,7 @@
 #include "connection/responseparser.h"
 
+#include "connection/transfercoding.h"
+
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -11,6 +13,7 @@
 
 constexpr unsigned MinStatusCode = 100;
 constexpr unsigned MaxStatusCode = 599;
+constexpr unsigned FirstVersionWithCodings = 11; // HTTP/1.1
 constexpr std::string_view LineEnd = "\r\n";
 
 /** Error category whose values are those of ResponseDefect. */
@@ -115,21 +118,43 @@
     }
     if (!error && !wasHeadComplete && isHeadComplete()) {
         error = checkHead();
+    } else if (!error && isComplete() && m_parser.chunked()) {
+        error = checkTrailer(bytes.substr(0, consumed));
     }
     error = toDefect(error);
     return consumed;
 }
 
-/** Checks what Beast's parser accepts in a complete header. */
-ErrorCode ResponseParser::checkHead() const
+/** Checks a complete head for what Beast's parser accepts. */
+ErrorCode ResponseParser::checkHead()
 {
-    const unsigned status = m_parser.get().result_int();
-    if (status < MinStatusCode || status > MaxStatusCode) {
+    const auto &head = m_parser.get();
+    if (head.result_int() < MinStatusCode || head.result_int() > MaxStatusCode) {
         return makeErrorCode(ResponseDefect::StatusCode);
     }
+    if (isComplete()) {
+        return {};
+    }
+    const TransferCoding coding = transferCoding(head);
+    if (coding == TransferCoding::None) {
+        return {};
+    }
+    if (coding != TransferCoding::Chunked || head.version() < FirstVersionWithCodings) {
+        return makeErrorCode(ResponseDefect::TransferCoding);
+    }
+    m_headOfChunkedBody = head.base();
     return {};
 }
 
+/** Checks the trailer. @param lastChunk  from the line end of the chunk before it, if there is one, to the end of the response */
+ErrorCode ResponseParser::checkTrailer(std::string_view lastChunk) const
+{
+    if (lastChunk.starts_with(LineEnd)) {
+        lastChunk.remove_prefix(LineEnd.size());
+    }
+    return hasFoldedLine(lastChunk) ? makeErrorCode(ResponseDefect::FoldedLine) : ErrorCode();
+}
+
 ErrorCode ResponseParser::finish(StreamEnd end)
 {
     if (end == StreamEnd::Reset) {
@@ -145,7 +170,11 @@
 
 HttpResponse ResponseParser::release()
 {
-    return HttpResponse(m_parser.release());
+    HttpResponse response(m_parser.release());
+    if (m_headOfChunkedBody) {
+        response.base() = std::move(*m_headOfChunkedBody);
+    }
+    return response;
 }
 
 } // namespace carobjunction
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http/parser.hpp>
 
+#include <optional>
 #include <string_view>
 
 namespace carobjunction
@@ -22,9 +23,9 @@
     StatusLine = 1, /**< The status line can't be parsed. */
     StatusCode, /**< The status code is outside the range that HTTP defines. */
     FieldLine, /**< A field name is no token, or a field value contains a control character. */
-    FoldedLine, /**< A line of the header starts with a blank: a garbled line, or an obsolete continuation of the line before it. */
+    FoldedLine, /**< A line of the header or the trailer starts with a blank: a garbled line, or an obsolete continuation of the one before it. */
     ContentLength, /**< The length of the body is no number, or there are several different ones. */
-    TransferCoding, /**< The transfer coding stands beside a length. */
+    TransferCoding, /**< The transfer coding is none but chunked, stands beside a length, or is used by HTTP/1.0. */
     Chunk, /**< The size or the end of a chunk is invalid. */
 };
 
@@ -106,13 +107,15 @@
         return m_parser.get().body().size();
     }
 
-    /** @return the complete response */
+    /** @return the complete response. The fields of a trailer are discarded (RFC 9110, 6.5.1), so that none passes for one of the header */
     HttpResponse release();
 
 private:
-    ErrorCode checkHead() const;
+    ErrorCode checkHead();
+    ErrorCode checkTrailer(std::string_view lastChunk) const;
 
     http::response_parser<http::string_body> m_parser;
+    std::optional<http::response_header<>> m_headOfChunkedBody; /**< Copied before a trailer can add fields to it. */
 };
 
 } // namespace carobjunction
--- a/tests/connection/responseparsertest.cpp
+++ b/tests/connection/responseparsertest.cpp
@@ -184,3 +184,56 @@
     checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nwho\r\n\tle", "who\r\n\tle");
     checkHasBody("HTTP/1.1 200 OK\r\n\r\n whole\r\n and more", " whole\r\n and more");
 }
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.framing.isADefectUnlessItStatesOneEndOfTheBody")
+{
+    // Guards against a body that contains the framing of chunks, or bytes of another response.
+    const std::string chunks = "\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const std::string coding :
+         { "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "chunke", "chunked;q=1", "", "gzip\r\nTransfer-Encoding: chunked" }) {
+        checkHasDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n" + chunks, ResponseDefect::TransferCoding);
+    }
+    checkHasDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks, ResponseDefect::TransferCoding);
+    checkHasDefect("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, ResponseDefect::TransferCoding);
+    checkHasDefect("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n" + chunks, ResponseDefect::TransferCoding);
+    checkHasDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n" + chunks, ResponseDefect::ContentLength);
+    for (const std::string length : { "", "-5", "+5", "5 5", "5, 6", "0x5", "5\r\nContent-Length: 6", "18446744073709551616", "five" }) {
+        checkHasDefect("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nwhole", ResponseDefect::ContentLength);
+    }
+    for (const std::string chunk :
+         { "x\r\nwhole\r\n0\r\n\r\n", "\r\nwhole\r\n0\r\n\r\n", "5\r\nwholeX\r\n0\r\n\r\n", "5 \r\nwhole\r\n0\r\n\r\n", "-5\r\nwhole" }) {
+        checkHasDefect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk, ResponseDefect::Chunk);
+    }
+    checkHasBody("HTTP/1.1 200 OK\r\ntransfer-encoding: CHUNKED\r\n" + chunks, "whole");
+    checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole", "whole");
+}
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.responseWithoutABody.endsWithItsHead")
+{
+    checkHasBody("HTTP/1.1 204 No Content\r\n\r\n", "");
+    checkHasBody("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "");
+    checkHasBody("HTTP/1.1 103 Early Hints\r\n\r\n", "");
+    answersHead = true;
+    checkHasBody("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "");
+    checkHasBody("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "");
+}
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.trailer.isCheckedAndAddsNothingToTheHeader")
+{
+    // Guards against a field behind the body that changes what the header has said, such as that the request did not run.
+    const std::string head = "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string chunks : { "5\r\nwhole\r\n0\r\n", "2;x=y\r\nwh\r\n3\r\nole\r\n00;z\r\n" }) {
+        const std::string stream = head + chunks + "Id: other\r\nNot-Run: 1\r\n\r\n";
+        checkHasBody(stream, "whole");
+        const ParsedStream result = parse(stream, stream.size());
+        CHECK(result.response["Id"] == "r");
+        CHECK(result.response.count("Id") == 1);
+        CHECK(result.response.count("Not-Run") == 0);
+        checkHasDefect(head + chunks + "Id: other\r\n continued\r\n\r\n", ResponseDefect::FoldedLine);
+        checkHasDefect(head + chunks + "Id: other\r\n\tot-Run: 1\r\n\r\n", ResponseDefect::FoldedLine);
+        checkHasDefect(head + chunks + " d: other\r\n\r\n", ResponseDefect::FieldLine);
+        checkHasDefect(head + chunks + "I d: other\r\n\r\n", ResponseDefect::FieldLine);
+        checkHasDefect(head + chunks + "Id: ot\x01her\r\n\r\n", ResponseDefect::FieldLine);
+    }
+    checkHasBody(head + "0\r\n\r\n", "");
+}
