Read the answers of store and daemon with the checked client

What users could see: the store client of carobjunctiond and the command-line tool took broken answers for good ones. A configuration could be read from an answer that the store had not sent so, a write counted as stored, and a write that may have been applied was reported as without effect (status 000).

Cause: both read answers with cpp-httplib, which joins or skips garbled header lines, ignores unknown codings, and reads an answer without a valid length to the end of its connection.

Change: BlockingHttpClient runs exchanges of HttpClientPool on a thread of its own (EventLoopThread, taken out of BackendClient). StoreClient and OperatorClient use it. An answer that is malformed or cut short is a time-out of the store, so a write may have taken effect, and it counts for the circuit breaker; the tool names the defect and exits with 3. A response of the store must be complete within the time limit, where cpp-httplib allowed that time for each read. Of cpp-httplib, the tool keeps the encoding of query parameters.

--- a/cli/operatorclient.cpp
+++ b/cli/operatorclient.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-constexpr time_t ConnectTimeoutSeconds = 3;
+constexpr std::chrono::seconds ConnectTimeout(3);
 // A daemon queries the versions of its members one after the other, with a timeout of 0.5 s per member.
-constexpr time_t ReadTimeoutSeconds = 60;
+constexpr std::chrono::seconds ResponseTimeout(60);
 
 /**
  * Extracts the daemon's error message from a response body.
@@ -28,27 +28,41 @@
 
 } // namespace
 
-OperatorClient::OperatorClient(const std::string &address) : m_address(address), m_client(std::make_unique<httplib::Client>("http://" + address))
+OperatorClient::OperatorClient(const std::string &address) : m_address(address), m_client(BlockingHttpClient::create(address, {}))
 {
-    m_client->set_connection_timeout(ConnectTimeoutSeconds);
-    m_client->set_read_timeout(ReadTimeoutSeconds);
 }
 
-OperatorClient::~OperatorClient() = default;
-
 std::optional<Json> OperatorClient::get(const std::string &path, const Parameters &parameters)
 {
-    return parseResponse(m_client->Get(path, httplib::Params(parameters.begin(), parameters.end()), httplib::Headers()));
+    return send(http::verb::get, parameters.empty() ? path : httplib::append_query_params(path, { parameters.begin(), parameters.end() }));
 }
 
 std::optional<Json> OperatorClient::post(const std::string &path)
 {
-    return parseResponse(m_client->Post(path, "{}", "application/json"));
+    return send(http::verb::post, path, "{}");
 }
 
 std::optional<Json> OperatorClient::remove(const std::string &path)
 {
-    return parseResponse(m_client->Delete(path));
+    return send(http::verb::delete_, path);
+}
+
+std::optional<Json> OperatorClient::send(http::verb method, const std::string &target, const std::string &body)
+{
+    if (!m_client) {
+        printError("daemon address " + m_address + " is not an IP address with a port");
+        m_failureExitCode = ExitCode::UsageError;
+        return std::nullopt;
+    }
+    HttpRequest request = m_client->makeRequest(method, target);
+    if (!body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = body;
+    }
+    ExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.deadline = SteadyClock().now() + ConnectTimeout + ResponseTimeout;
+    return parseResponse(m_client->exchange(std::move(request), std::move(options)));
 }
 
 ExitCode OperatorClient::failureExitCode() const
@@ -56,20 +70,22 @@
     return m_failureExitCode;
 }
 
-std::optional<Json> OperatorClient::parseResponse(const httplib::Result &result)
+std::optional<Json> OperatorClient::parseResponse(const ExchangeResult &exchange)
 {
-    if (!result) {
-        printError("daemon at " + m_address + " is unreachable: " + httplib::to_string(result.error()));
+    if (exchange.end != ExchangeEnd::Answered) {
+        const char *problem = exchange.end == ExchangeEnd::NotSent ? " is unreachable: " : " sent no valid response: ";
+        printError("daemon at " + m_address + problem + exchange.detail);
         m_failureExitCode = ExitCode::Unreachable;
         return std::nullopt;
     }
-    Json body = result->body.empty() ? Json::object() : Json::parse(result->body, nullptr, false);
-    if (result->status >= 200 && result->status < 300 && body.is_object()) {
+    const HttpResponse &response = exchange.response;
+    Json body = response.body().empty() ? Json::object() : Json::parse(response.body(), nullptr, false);
+    const http::status_class statusClass = http::to_status_class(response.result());
+    if (statusClass == http::status_class::successful && body.is_object()) {
         return body;
     }
-    const bool isClientError = result->status >= 400 && result->status < 500;
-    printError("daemon at " + m_address + " returned HTTP status " + std::to_string(result->status) + errorDetail(body));
-    m_failureExitCode = isClientError ? ExitCode::NegativeResult : ExitCode::Unreachable;
+    printError("daemon at " + m_address + " returned HTTP status " + std::to_string(response.result_int()) + errorDetail(body));
+    m_failureExitCode = statusClass == http::status_class::client_error ? ExitCode::NegativeResult : ExitCode::Unreachable;
     return std::nullopt;
 }
 
--- a/cli/operatorclient.h
+++ b/cli/operatorclient.h
@@ -2,17 +2,13 @@
 
 #include "command.h"
 
+#include "connection/blockinghttpclient.h"
+
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
-namespace httplib
-{
-class Client;
-class Result;
-} // namespace httplib
-
 namespace carobjunction
 {
 
@@ -24,9 +20,6 @@
 
     /** @param address  operator port as `ip:port` */
     explicit OperatorClient(const std::string &address);
-    ~OperatorClient();
-    OperatorClient(const OperatorClient &) = delete;
-    OperatorClient &operator=(const OperatorClient &) = delete;
 
     /**
      * Sends a GET request.
@@ -44,11 +37,12 @@
     ExitCode failureExitCode() const;
 
 private:
+    std::optional<Json> send(http::verb method, const std::string &target, const std::string &body = {});
     /** Returns the JSON object of a successful response; otherwise prints the error and sets the exit code. */
-    std::optional<Json> parseResponse(const httplib::Result &result);
+    std::optional<Json> parseResponse(const ExchangeResult &exchange);
 
     std::string m_address;
-    std::unique_ptr<httplib::Client> m_client;
+    std::unique_ptr<BlockingHttpClient> m_client; /**< Null if the address is not valid. */
     ExitCode m_failureExitCode = ExitCode::Ok;
 };
 
--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -5,8 +5,6 @@
 #include "connection/messagefields.h"
 #include "connection/socketaddress.h"
 
-#include <boost/asio/use_future.hpp>
-
 #include <algorithm>
 
 namespace carobjunction
@@ -120,14 +118,8 @@
 
 } // namespace
 
-BackendClient::BackendClient(uint64_t maxBodyBytes) : m_maxBodyBytes(maxBodyBytes), m_workGuard(m_loop.get_executor()), m_thread([this] { m_loop.run(); })
-{
-}
-
-BackendClient::~BackendClient()
+BackendClient::BackendClient(uint64_t maxBodyBytes) : m_maxBodyBytes(maxBodyBytes)
 {
-    m_loop.stop();
-    m_thread.join();
 }
 
 void BackendClient::setAddress(const SocketAddress &address)
@@ -138,11 +130,11 @@
         return;
     }
     if (m_pool) {
-        asio::post(m_loop, [pool = m_pool] { pool->closeIdle(); });
+        asio::post(m_thread.loop(), [pool = m_pool] { pool->closeIdle(); });
     }
     PoolLimits limits;
     limits.maxIdleConnections = MaxIdleConnections;
-    m_pool = std::make_shared<HttpClientPool>(m_loop, *server, limits);
+    m_pool = std::make_shared<HttpClientPool>(m_thread.loop(), *server, limits);
 }
 
 BackendClient::PoolPtr BackendClient::currentPool()
@@ -154,8 +146,7 @@
 /** Runs an exchange on the event loop and blocks until it has ended. */
 ExchangeResult BackendClient::exchange(const PoolPtr &pool, HttpRequest request, ExchangeOptions options)
 {
-    Task<ExchangeResult> task = pool->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>());
-    return asio::co_spawn(m_loop, std::move(task), asio::use_future).get();
+    return m_thread.run(pool->exchange(std::move(request), std::move(options), std::make_shared<Cancellation>()));
 }
 
 CallResult BackendClient::call(const CallRequest &request)
--- a/src/connection/backendclient.h
+++ b/src/connection/backendclient.h
@@ -2,12 +2,12 @@
 
 #include <carobjunction/request/callresult.h>
 
+#include "connection/eventloopthread.h"
 #include "connection/httpclientpool.h"
 
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace carobjunction
 {
@@ -26,9 +26,6 @@
 public:
     /** @param maxBodyBytes  maximum size of a response body */
     explicit BackendClient(uint64_t maxBodyBytes);
-    ~BackendClient();
-    BackendClient(const BackendClient &) = delete;
-    BackendClient &operator=(const BackendClient &) = delete;
 
     /** Sets the address for subsequent requests and closes the idle connections to the previous address. */
     void setAddress(const SocketAddress &address);
@@ -54,9 +51,7 @@
     ExchangeResult sendControlRequest(const PoolPtr &pool, http::verb method, const std::string &path, Duration timeout);
 
     const uint64_t m_maxBodyBytes;
-    asio::io_context m_loop { 1 };
-    asio::executor_work_guard<asio::io_context::executor_type> m_workGuard;
-    std::thread m_thread;
+    EventLoopThread m_thread;
     std::mutex m_mutex; /**< Guards m_pool. */
     PoolPtr m_pool; /**< Connections to the current address; null until one is set. Used on the thread of the event loop only. */
 };
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -311,8 +311,8 @@
         returnToPool(connection, result.response);
         co_return result;
     }
-    result.detail = error.message();
     result.end = cancellation->isRequested() ? ExchangeEnd::Cancelled : connection->hasTimedOut ? ExchangeEnd::TimedOut : endAfterError(error);
+    result.detail = result.end == ExchangeEnd::TimedOut ? "no complete response within the time limit" : error.message();
     connection->close();
     if (connection->hasPartialResponse && result.end != ExchangeEnd::Cancelled && result.end != ExchangeEnd::TimedOut) {
         logDiscardedResponse(options.requestId, result);
--- a/src/process/storeclient.cpp
+++ b/src/process/storeclient.cpp
@@ -1,12 +1,9 @@
 #include "process/storeclient.h"
 
+#include "connection/endpoints.h"
 #include "process/eventlog.h"
 #include "process/storeprotocol.h"
 
-#include <httplib.h>
-
-#include <charconv>
-
 namespace carobjunction
 {
 
@@ -14,10 +11,8 @@
 {
 
 constexpr const char *JsonContentType = "application/json";
-constexpr int StatusOk = 200;
-constexpr int StatusNotFound = 404;
-constexpr int StatusTooManyRequests = 429;
-constexpr int StatusFirstServerError = 500;
+constexpr const char *ObjectContentType = "application/octet-stream";
+constexpr std::chrono::seconds IdleTimeout(3); // shorter than that of the store, which could otherwise close a connection that is being reused
 
 /**
  * Returns whether the error is a regular response of an available store, which must not open the circuit breaker. An exceeded rate limit is
@@ -28,62 +23,67 @@
     return error.code == StoreErrorCode::NotFound || error.code == StoreErrorCode::Protocol || error.code == StoreErrorCode::Overloaded;
 }
 
-StoreError errorFromConnection(httplib::Error error, bool isWrite)
+/** Converts an exchange that ended without a usable response. Bytes that are not a response say nothing about the effect of a write. */
+StoreError errorFromExchange(const ExchangeResult &exchange, bool isWrite)
 {
-    const std::string detail = httplib::to_string(error);
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
-        return { StoreErrorCode::Unavailable, false, detail };
+    if (exchange.end == ExchangeEnd::NotSent) {
+        return { StoreErrorCode::Unavailable, false, exchange.detail };
     }
-    return { StoreErrorCode::Timeout, isWrite, detail };
+    return { StoreErrorCode::Timeout, isWrite, exchange.detail };
 }
 
-StoreError errorFromStatus(int status, bool isWrite)
+StoreError errorFromStatus(const HttpResponse &response, bool isWrite)
 {
-    const std::string detail = "status " + std::to_string(status);
-    if (status == StatusTooManyRequests) {
+    const std::string detail = "status " + std::to_string(response.result_int());
+    if (response.result() == http::status::too_many_requests) {
         return { StoreErrorCode::Overloaded, false, detail };
     }
-    if (status == StatusNotFound) {
+    if (response.result() == http::status::not_found) {
         return { StoreErrorCode::NotFound, false, detail };
     }
-    if (status >= StatusFirstServerError) {
+    if (http::to_status_class(response.result()) == http::status_class::server_error) {
         // The protocol does not guarantee that a write answered with status 503 had no effect.
         return { StoreErrorCode::Unavailable, isWrite, detail };
     }
     return { StoreErrorCode::Protocol, false, detail };
 }
 
+std::optional<std::string> bodyOrError(ExchangeResult exchange, bool isWrite)
+{
+    if (exchange.end != ExchangeEnd::Answered) {
+        return LastError<StoreError>::fail(errorFromExchange(exchange, isWrite));
+    }
+    if (exchange.response.result() != http::status::ok) {
+        return LastError<StoreError>::fail(errorFromStatus(exchange.response, isWrite));
+    }
+    return std::move(exchange.response.body());
+}
+
 } // namespace
 
 std::unique_ptr<StoreClient> StoreClient::create(const StoreClientOptions &options)
 {
-    const size_t colon = options.address.rfind(':');
-    if (colon == std::string::npos || colon == 0) {
-        return nullptr;
-    }
-    int port = 0;
-    const char *end = options.address.data() + options.address.size();
-    const auto [parsed, error] = std::from_chars(options.address.data() + colon + 1, end, port);
-    if (error != std::errc {} || parsed != end || port <= 0 || port > UINT16_MAX) {
+    if (!isConnectableAddress(options.address)) {
         return nullptr;
     }
-    return std::unique_ptr<StoreClient>(new StoreClient(options, options.address.substr(0, colon), port));
+    PoolLimits limits;
+    limits.maxIdleConnections = options.maxConnections;
+    limits.idleTimeout = IdleTimeout;
+    return std::unique_ptr<StoreClient>(new StoreClient(options, BlockingHttpClient::create(options.address, limits)));
 }
 
-StoreClient::StoreClient(const StoreClientOptions &options, std::string host, int port)
-    : m_options(options), m_host(std::move(host)), m_port(port), m_breaker(m_clock, options.breaker)
+StoreClient::StoreClient(const StoreClientOptions &options, std::unique_ptr<BlockingHttpClient> client)
+    : m_options(options), m_client(std::move(client)), m_breaker(m_clock, options.breaker)
 {
 }
 
-StoreClient::~StoreClient() = default;
-
 std::optional<TransactResult> StoreClient::transact(const std::vector<StoreOp> &ops, bool atomic)
 {
     const std::optional<std::string> request = storeprotocol::serialiseTransactRequest(ops, atomic);
     if (!request) {
         return LastError<StoreError>::fail({ StoreErrorCode::Protocol, false, "transaction request not sent: a key or value is not valid UTF-8" });
     }
-    const auto response = sendRequest([&](httplib::Client &client) { return client.Post("/v1/table/transact", *request, JsonContentType); }, true);
+    const auto response = postJson("/v1/table/transact", *request, true);
     if (!response) {
         return std::nullopt;
     }
@@ -109,7 +109,7 @@
     if (!request) {
         return LastError<StoreError>::fail({ StoreErrorCode::Protocol, false, "read request not sent: a key or prefix is not valid UTF-8" });
     }
-    const auto response = sendRequest([&](httplib::Client &client) { return client.Post("/v1/table/read", *request, JsonContentType); }, false);
+    const auto response = postJson("/v1/table/read", *request, false);
     if (!response) {
         return std::nullopt;
     }
@@ -122,44 +122,46 @@
 
 bool StoreClient::putObject(const std::string &name, const std::string &bytes)
 {
-    return sendRequest([&](httplib::Client &client) { return client.Put("/v1/objects/" + name, bytes, "application/octet-stream"); }, true).has_value();
+    HttpRequest request = m_client->makeRequest(http::verb::put, "/v1/objects/" + name);
+    request.set(http::field::content_type, ObjectContentType);
+    request.body() = bytes;
+    return sendRequest(std::move(request), true).has_value();
 }
 
 std::optional<std::string> StoreClient::getObject(const std::string &name)
 {
-    return sendRequest([&](httplib::Client &client) { return client.Get("/v1/objects/" + name); }, false);
+    return sendRequest(m_client->makeRequest(http::verb::get, "/v1/objects/" + name), false);
+}
+
+std::optional<std::string> StoreClient::postJson(const char *path, const std::string &body, bool isWrite)
+{
+    HttpRequest request = m_client->makeRequest(http::verb::post, path);
+    request.set(http::field::content_type, JsonContentType);
+    request.body() = body;
+    return sendRequest(std::move(request), isWrite);
 }
 
-std::optional<std::string> StoreClient::sendRequest(const SendFunction &send, bool isWrite)
+std::optional<std::string> StoreClient::sendRequest(HttpRequest request, bool isWrite)
 {
     const auto permit = m_breaker.acquirePermit();
     if (permit == CircuitBreaker<SteadyClock>::Permit::Denied) {
         return LastError<StoreError>::fail({ StoreErrorCode::Unavailable, false, "request not sent: circuit breaker is open after failures of the store" });
     }
-    std::unique_ptr<httplib::Client> connection = acquireConnection();
-    if (!connection) {
+    if (!acquireConnection()) {
         m_breaker.recordResult(permit, false);
         return LastError<StoreError>::fail({ StoreErrorCode::Unavailable, false, "no connection to the store became free within the time limit" });
     }
-    const httplib::Result result = send(*connection);
-    releaseConnection(std::move(connection));
-    std::optional<std::string> body = bodyOrError(result, isWrite);
+    ExchangeOptions options;
+    options.connectTimeout = m_options.timeout;
+    options.deadline = m_clock.now() + 2 * m_options.timeout; // for the connection and for the response
+    ExchangeResult exchange = m_client->exchange(std::move(request), std::move(options));
+    releaseConnection();
+    std::optional<std::string> body = bodyOrError(std::move(exchange), isWrite);
     const bool succeeded = body || isFromAvailableStore(LastError<StoreError>::get());
     updateBreaker(permit, succeeded, body ? std::string() : LastError<StoreError>::get().detail);
     return body;
 }
 
-std::optional<std::string> StoreClient::bodyOrError(const httplib::Result &result, bool isWrite) const
-{
-    if (!result) {
-        return LastError<StoreError>::fail(errorFromConnection(result.error(), isWrite));
-    }
-    if (result->status != StatusOk) {
-        return LastError<StoreError>::fail(errorFromStatus(result->status, isWrite));
-    }
-    return result->body;
-}
-
 void StoreClient::updateBreaker(CircuitBreaker<SteadyClock>::Permit permit, bool succeeded, const std::string &detail)
 {
     using Change = CircuitBreaker<SteadyClock>::Change;
@@ -171,40 +173,23 @@
     }
 }
 
-std::unique_ptr<httplib::Client> StoreClient::acquireConnection()
+bool StoreClient::acquireConnection()
 {
     std::unique_lock lock(m_mutex);
     if (!m_connectionReleased.wait_for(lock, m_options.timeout, [this] { return m_connectionsInUse < m_options.maxConnections; })) {
-        return nullptr;
+        return false;
     }
     ++m_connectionsInUse;
-    if (m_idleConnections.empty()) {
-        return createConnection();
-    }
-    std::unique_ptr<httplib::Client> connection = std::move(m_idleConnections.back());
-    m_idleConnections.pop_back();
-    return connection;
+    return true;
 }
 
-void StoreClient::releaseConnection(std::unique_ptr<httplib::Client> connection)
+void StoreClient::releaseConnection()
 {
     {
         const std::scoped_lock lock(m_mutex);
-        m_idleConnections.push_back(std::move(connection));
         --m_connectionsInUse;
     }
     m_connectionReleased.notify_one();
 }
 
-std::unique_ptr<httplib::Client> StoreClient::createConnection() const
-{
-    auto client = std::make_unique<httplib::Client>(m_host, m_port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(m_options.timeout);
-    client->set_read_timeout(m_options.timeout);
-    client->set_write_timeout(m_options.timeout);
-    return client;
-}
-
 } // namespace carobjunction
--- a/tests/process/commandlinetest.cpp
+++ b/tests/process/commandlinetest.cpp
@@ -1,8 +1,10 @@
 #include "../../tools/standin-store/standinstoreserver.h"
 #include "commandlinetool.h"
+#include "connection/brokenanswers.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -168,3 +170,21 @@
     }
     CHECK(runCommandLineTool("targets" + address).exitCode == 3);
 }
+
+TEST_CASE("CommandLine.brokenAnswer.isReportedAndNotPrinted")
+{
+    // Guards against the answer of a daemon that is shown although it is malformed or cut short.
+    const std::string body = R"({"targets":[{"service":"s","daemon":"d"}]})";
+    RawAnswer answer;
+    const RunningBrokenAnswerServer daemon([&answer](const HttpRequest &, BrokenAnswerServer::RequestPosition) { return answer; });
+    for (const BrokenAnswer &broken : brokenAnswers("", body)) {
+        CAPTURE(broken.defect);
+        answer = broken.answer;
+        const CommandResult result = runCommandLineTool("targets --operator " + daemon.address());
+        CHECK(result.exitCode == 3);
+        CHECK(result.output.find("daemon at " + daemon.address()) == 0);
+        CHECK(std::count(result.output.begin(), result.output.end(), '\n') == 1);
+    }
+    answer = { "HTTP/1.1 200 OK\r\n\r\n" + body, ConnectionEnd::Close };
+    CHECK(runCommandLineTool("targets --operator " + daemon.address()).exitCode == 0);
+}
