--- a/src/connection/protocolconversion.cpp
+++ b/src/connection/protocolconversion.cpp
@@ -1,5 +1,9 @@
 #include "connection/protocolconversion.h"
 
+#include "connection/responseparser.h"
+
+#include <algorithm>
+
 namespace carobjunction
 {
 
@@ -52,6 +56,24 @@
     }
 }
 
+/** @return whether the result of a peer has an answer that no caller may get, such as one that a daemon of an older version has accepted */
+bool hasMalformedAnswer(const CallResult &result)
+{
+    if (result.status == 0) {
+        return result.outcome == Outcome::Ran && result.reason == Reason::None;
+    }
+    return !isDefinedStatus(static_cast<unsigned>(result.status))
+        || !std::all_of(result.headers.begin(), result.headers.end(), [](const auto &header) { return isValidField(header.first, header.second); });
+}
+
+CallResult malformedAnswerResult()
+{
+    CallResult result;
+    result.outcome = Outcome::Unknown;
+    result.reason = Reason::AnswerMalformed;
+    return result;
+}
+
 Priority priorityOrLow(uint32_t value)
 {
     return value <= static_cast<uint32_t>(Priority::Low) ? static_cast<Priority>(value) : Priority::Low;
@@ -116,6 +138,9 @@
     result.status = static_cast<int>(message.status());
     result.headers = getHeaders(message.headers());
     result.body = std::move(*message.mutable_body());
+    if (hasMalformedAnswer(result)) {
+        result = malformedAnswerResult();
+    }
     if (message.has_load()) {
         result.load = fromMessage(message.load());
     }
--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+#include <cctype>
+
 namespace carobjunction
 {
 
@@ -87,6 +90,21 @@
 
 } // namespace
 
+bool isDefinedStatus(unsigned status)
+{
+    return status >= MinStatusCode && status <= MaxStatusCode;
+}
+
+bool isValidField(std::string_view name, std::string_view value)
+{
+    constexpr std::string_view TokenSymbols = "!#$%&'*+-.^_`|~";
+    constexpr unsigned char Delete = 0x7f;
+    const bool isToken = std::all_of(name.begin(), name.end(), [&](unsigned char c) {
+        return c <= Delete && (std::isalnum(c) != 0 || TokenSymbols.find(static_cast<char>(c)) != std::string_view::npos);
+    });
+    return !name.empty() && isToken && std::none_of(value.begin(), value.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == Delete; });
+}
+
 ErrorCode makeErrorCode(ResponseDefect defect)
 {
     return { static_cast<int>(defect), responseDefectCategory() };
@@ -129,7 +147,7 @@
 ErrorCode ResponseParser::checkHead()
 {
     const auto &head = m_parser.get();
-    if (head.result_int() < MinStatusCode || head.result_int() > MaxStatusCode) {
+    if (!isDefinedStatus(head.result_int())) {
         return makeErrorCode(ResponseDefect::StatusCode);
     }
     if (isComplete()) {
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -42,6 +42,12 @@
     };
 };
 
+/** @return whether HTTP defines a meaning for the range of the status code */
+bool isDefinedStatus(unsigned status);
+
+/** @return whether a name and a value can form a field line: the name is a token, and the value contains no control character but tabs */
+bool isValidField(std::string_view name, std::string_view value);
+
 /** @return the error code of a defect; its message is the name of the defect */
 ErrorCode makeErrorCode(ResponseDefect defect);
 
--- a/tests/connection/responseparsertest.cpp
+++ b/tests/connection/responseparsertest.cpp
@@ -237,3 +237,16 @@
     }
     checkHasBody(head + "0\r\n\r\n", "");
 }
+
+TEST_CASE_METHOD(ResponseParserFixture, "isValidField.anyByte.agreesWithTheParser")
+{
+    for (int byte = 0; byte <= 0xff; ++byte) {
+        const std::string text = std::string("a") + static_cast<char>(byte) + "b";
+        CAPTURE(byte);
+        const std::string named = "HTTP/1.1 200 OK\r\n" + text + ": v\r\nContent-Length: 0\r\n\r\n";
+        CHECK(isValidField(text, "v") == (isTokenByte(static_cast<char>(byte))));
+        CHECK((isValidField(text, "v") || byte == ':') == parse(named, named.size()).isComplete);
+        const std::string valued = "HTTP/1.1 200 OK\r\nName: " + text + "\r\nContent-Length: 0\r\n\r\n";
+        CHECK(isValidField("Name", text) == parse(valued, valued.size()).isComplete);
+    }
+}
