Test all kinds of broken answers through real daemons, with their log lines

Cause: the tests of the three faults looked at the answers of callers, not at the log, and at three kinds of broken answers only.

Each request must be answered 502, be sent once, and have its reason in the log of the daemon beside the backend server. BrokenAnswers.lookup: with a second server, lookups are answered 200 and orders run once in all. A response that is refused at its first byte counts as begun, so that event 2007 is written for it, too: the log check found that it was not.

--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -125,6 +125,7 @@
 size_t ResponseParser::parse(std::string_view bytes, ErrorCode &error)
 {
     error = {};
+    m_hasStarted = m_hasStarted || !bytes.empty();
     const bool wasHeadComplete = isHeadComplete();
     if (!wasHeadComplete && hasFoldedLine(bytes)) {
         error = makeErrorCode(ResponseDefect::FoldedLine);
@@ -178,7 +179,7 @@
     if (end == StreamEnd::Reset) {
         return asio::error::connection_reset;
     }
-    if (!hasStarted()) {
+    if (!m_hasStarted) {
         return http::make_error_code(http::error::end_of_stream);
     }
     ErrorCode error;
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -79,10 +79,10 @@
     /** Processes the end of the stream. @return an error unless the response is complete. Only an orderly end completes a body without a length */
     ErrorCode finish(StreamEnd end);
 
-    /** @return whether a byte of the response was parsed */
+    /** @return whether a byte of the response has arrived */
     bool hasStarted() const
     {
-        return m_parser.got_some();
+        return m_hasStarted;
     }
 
     bool isHeadComplete() const
@@ -121,6 +121,7 @@
     ErrorCode checkTrailer(std::string_view lastChunk) const;
 
     http::response_parser<http::string_body> m_parser;
+    bool m_hasStarted = false;
     std::optional<http::response_header<>> m_headOfChunkedBody; /**< Copied before a trailer can add fields to it. */
 };
 
--- a/tests/platform/brokenanswerstest.cpp
+++ b/tests/platform/brokenanswerstest.cpp
@@ -1,6 +1,6 @@
 #include "platform/platformdaemonfixture.h"
 
-#include "connection/brokenanswerserver.h"
+#include "connection/brokenanswers.h"
 
 #include <iterator>
 #include <set>
@@ -20,9 +20,14 @@
     OwnDaemon,
 };
 
+std::string answerFields(const std::string &id)
+{
+    return "X-Attempt-Id: " + id + "\r\nX-Response-Seal: seal\r\nX-Server-Load: 0,0,9,100\r\n";
+}
+
 std::string answerHead(const std::string &status, const std::string &id)
 {
-    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal\r\nX-Server-Load: 0,0,9,100\r\n";
+    return "HTTP/1.1 " + status + "\r\n" + answerFields(id);
 }
 
 } // namespace
@@ -67,6 +72,15 @@
         return { std::istreambuf_iterator<char>(file), {} };
     }
 
+    /** @return whether the owner's log names the reason for which an answer was discarded */
+    bool isReasonLogged(const std::string &id) const
+    {
+        const std::string log = ownerLog();
+        const size_t at = log.find("name=answer-discarded request=" + id + " server=" + vms[1].backendAddress() + " reason=answer-");
+        const std::string line = at == std::string::npos ? "" : log.substr(at, log.find('\n', at) - at);
+        return line.find(" detail=") != std::string::npos && !line.ends_with("detail=\"\"");
+    }
+
     /** Sends one request of each kind on a kept and on a new connection. Each must be answered 502, and only once sent to the backend server. */
     void checkIsAnsweredWithBadGateway(const std::string &body = "")
     {
@@ -81,6 +95,7 @@
                     CHECK_FALSE(hasField(response, "X-Response-Seal"));
                     CHECK(startedIds.count(lastId) == 1);
                     CHECK(wasConnectionKept == isKept);
+                    CHECK(waitFor([this] { return isReasonLogged(lastId); }, 1s));
                 }
             }
         }
@@ -139,3 +154,45 @@
     };
     checkIsAnsweredWithBadGateway();
 }
+
+TEST_CASE_METHOD(BrokenAnswersFixture, "BrokenAnswers.anyKind.isAnsweredWithBadGatewayAlsoIfItClaimsARefusal")
+{
+    // Guards against a broken answer that passes, and against one that counts as the proof that a request did not run.
+    const std::string claim = GENERATE("", "X-Not-Executed: 1\r\n");
+    const size_t kinds = brokenAnswers("", "whole").size();
+    for (size_t kind = 0; kind < kinds; ++kind) {
+        const auto answerOfKind = [&](const std::string &id) {
+            return brokenAnswers(answerFields(id) + claim, "whole")[kind];
+        };
+        CAPTURE(claim, answerOfKind("").defect);
+        brokenAnswer = [&](const std::string &id) {
+            return answerOfKind(id).answer;
+        };
+        checkIsAnsweredWithBadGateway();
+    }
+}
+
+TEST_CASE_METHOD(BrokenAnswersFixture, "BrokenAnswers.lookup.isAnsweredByAnotherServerAndAnOrderIsNotRepeated")
+{
+    vms.push_back(makeVm("vm-3", "ordering"));
+    start(vms.back());
+    REQUIRE(waitFor([this] { return getStatus(vms.back().ready, "/v1/readyz") == 200; }));
+    REQUIRE(sendHeartbeat(vms.back()) == 200);
+    const auto &healthy = vms.back().backend->startedRequests;
+    REQUIRE(waitFor([&] { return sendToFirstVm(http::verb::get, "/look/1").result_int() == 200 && !healthy.empty(); }));
+    brokenAnswer = [](const std::string &id) {
+        return RawAnswer { answerHead("000 Trouble", id) + "Content-Length: 5\r\n\r\nwhole" };
+    };
+    for (int i = 0; i < 200; ++i) { // the retry budget is a share of the requests
+        sendToFirstVm(http::verb::get, "/look/1");
+    }
+    for (int i = 0; i < 20; ++i) {
+        CHECK(sendBroken(Via::PeerDaemon, "/look/", "").result_int() == 200);
+        const unsigned status = sendBroken(Via::PeerDaemon, "/order/", "").result_int();
+        const auto runs
+            = std::count_if(healthy.begin(), healthy.end(), [this](const HttpRequest &started) { return fieldValue(started, "X-Attempt-Id") == lastId; });
+        CHECK(static_cast<size_t>(runs) + startedIds.count(lastId) == 1);
+        CHECK(status == (runs == 1 ? 200 : 502));
+    }
+    CHECK_FALSE(startedIds.empty());
+}
