--- a/src/connection/callerserver.cpp
+++ b/src/connection/callerserver.cpp
@@ -6,6 +6,7 @@
 #include "connection/endpoints.h"
 #include "connection/httpheaders.h"
 #include "connection/messagefields.h"
+#include "connection/sleepfor.h"
 #include "process/entryservice.h"
 #include "process/eventlog.h"
 
@@ -238,11 +239,8 @@
 {
     m_listener->disableKeepAlive();
     m_listener->close();
-    asio::steady_timer timer(m_loop);
     do {
-        timer.expires_after(DrainPollInterval);
-        ErrorCode ignored; // the timer is not cancelled
-        co_await timer.async_wait(redirectError(ignored));
+        co_await sleepFor(m_loop, DrainPollInterval);
     } while (m_listener->pendingRequests() > 0);
     m_loop.stop();
 }
--- a/src/connection/detachedtask.cpp
+++ b/src/connection/detachedtask.cpp
@@ -1,5 +1,6 @@
 #include "connection/detachedtask.h"
 
+#include "connection/sleepfor.h"
 #include "process/eventlog.h"
 
 #include <exception>
@@ -37,9 +38,7 @@
             co_return;
         }
         logTaskFailure(name, taskException);
-        asio::steady_timer timer(loop, restartDelay);
-        ErrorCode ignored; // the timer is not cancelled
-        co_await timer.async_wait(redirectError(ignored));
+        co_await sleepFor(loop, restartDelay);
     }
 }
 
--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -9,6 +9,7 @@
 #include "connection/detachedtask.h"
 #include "connection/endpoints.h"
 #include "connection/peerclients.h"
+#include "connection/sleepfor.h"
 #include "process/backoff.h"
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
@@ -164,13 +165,6 @@
     }
 
 private:
-    Task<void> sleepFor(Duration time)
-    {
-        asio::steady_timer timer(m_loop, time);
-        ErrorCode ignored; // nothing cancels this timer
-        co_await timer.async_wait(redirectError(ignored));
-    }
-
     /**
      * Reads the VM table at the start, after the record of this VM is stored, and then periodically. If two daemons start at the same
      * time, the second read of the daemon that stores its record last finds the record of the first daemon, so that it can send its reports to
@@ -184,19 +178,19 @@
             const auto rows = co_await m_store.scan(VmTableName);
             if (!rows) {
                 m_storeReachability.onFailure(VmTableName);
-                co_await sleepFor(backoff.next());
+                co_await sleepFor(m_loop, backoff.next());
                 continue;
             }
             m_storeReachability.onResponse();
             backoff.reset();
             applyVmRows(*rows);
             if (++reads > 1) {
-                co_await sleepFor(withJitter(RefreshInterval));
+                co_await sleepFor(m_loop, withJitter(RefreshInterval));
                 continue;
             }
             m_reportSender.announceRecord();
             do {
-                co_await sleepFor(SecondReadDelay);
+                co_await sleepFor(m_loop, SecondReadDelay);
             } while (!m_ownRecord.isStored());
         }
     }
@@ -374,7 +368,7 @@
      */
     Task<void> fetchRecord(GossipMessage sender)
     {
-        co_await sleepFor(RecordFetchDelay);
+        co_await sleepFor(m_loop, RecordFetchDelay);
         if (lacksRecord(sender)) {
             const StatePart part = m_directory.all().size() < 2 ? StatePart::All : StatePart::OwnRecord;
             if (const auto state = co_await m_peerClients.fetchState(sender.peerAddress, part)) {
@@ -390,7 +384,7 @@
         while (m_routeFetchScheduler.hasNewerRoutes(m_routeFollower.version())) {
             const auto address = m_routeFetchScheduler.source(SteadyClock().now());
             if (!address) {
-                co_await sleepFor(PeerSelectionRetryInterval);
+                co_await sleepFor(m_loop, PeerSelectionRetryInterval);
                 continue;
             }
             if (const auto state = co_await m_peerClients.fetchState(*address, StatePart::Routes)) {
--- a/src/process/ownrecord.h
+++ b/src/process/ownrecord.h
@@ -5,6 +5,7 @@
 
 #include "connection/detachedtask.h"
 #include "connection/peerclients.h"
+#include "connection/sleepfor.h"
 #include "process/backoff.h"
 #include "process/eventlog.h"
 #include "process/peerstate.h"
@@ -121,7 +122,7 @@
             if (query->requiredHolders == 0 && SteadyClock().now() - start >= HolderQueryDelay) {
                 startQuery(query);
             }
-            co_await sleepFor(PollInterval);
+            co_await sleepFor(m_loop, PollInterval);
         }
         co_return isCurrentStored() || query->isSatisfied();
     }
@@ -199,13 +200,6 @@
         return static_cast<uint64_t>(SystemWallClock().nowMs());
     }
 
-    Task<void> sleepFor(Duration time)
-    {
-        asio::steady_timer timer(m_loop, time);
-        ErrorCode ignored; // nothing cancels this timer
-        co_await timer.async_wait(redirectError(ignored));
-    }
-
     bool isCurrentStored() const
     {
         return !m_isWritePending && !m_isWriting;
@@ -258,7 +252,7 @@
                 ++query->holders;
                 co_return;
             }
-            co_await sleepFor(HolderQueryInterval);
+            co_await sleepFor(m_loop, HolderQueryInterval);
         }
     }
 
@@ -324,7 +318,7 @@
             }
             m_isWritePending = true;
             timeout = std::min(timeout * 2, TableStore<Dialect>::CallTimeout);
-            co_await sleepFor(backoff.next());
+            co_await sleepFor(m_loop, backoff.next());
         }
     }
 
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -4,6 +4,7 @@
 #include <carobjunction/version/routetable.h>
 
 #include "connection/detachedtask.h"
+#include "connection/sleepfor.h"
 #include "process/backoff.h"
 #include "process/eventlog.h"
 #include "process/metrics.h"
@@ -114,13 +115,6 @@
         return SteadyClock().now() + SuspensionMeter::suspendedTimeSinceBoot();
     }
 
-    Task<void> sleepFor(Duration time)
-    {
-        asio::steady_timer timer(m_loop, time);
-        ErrorCode ignored; // nothing cancels this timer
-        co_await timer.async_wait(redirectError(ignored));
-    }
-
     /** Reads the routes, then watches their table and applies each change. */
     Task<void> follow()
     {
@@ -140,7 +134,7 @@
                 if (!std::exchange(m_isWatchAbandoned, false)) {
                     m_reachability.onFailure(Platform::ConfigTable);
                 }
-                co_await sleepFor(backoff.next());
+                co_await sleepFor(m_loop, backoff.next());
             }
         }
     }
@@ -184,14 +178,14 @@
         while (true) {
             const double fraction = std::uniform_real_distribution<double>(0, 1)(m_random);
             for (Duration wait = m_confirmation.untilCheck(fraction, now()); wait > Duration::zero(); wait = m_confirmation.untilCheck(fraction, now())) {
-                co_await sleepFor(wait);
+                co_await sleepFor(m_loop, wait);
             }
             if (!m_watchCancellation || isReceiving()) {
-                co_await sleepFor(WatchPollInterval); // the follower has a response, or waits before its next call to the store
+                co_await sleepFor(m_loop, WatchPollInterval); // the follower has a response, or waits before its next call to the store
             } else if (co_await check()) {
                 backoff.reset();
             } else {
-                co_await sleepFor(backoff.next());
+                co_await sleepFor(m_loop, backoff.next());
             }
         }
     }
@@ -217,7 +211,7 @@
         const bool isNewer = applyRows(*rows, "store-check");
         m_onConfirmed();
         if (isNewer) {
-            co_await sleepFor(WatchGrace);
+            co_await sleepFor(m_loop, WatchGrace);
             abandonWatch(watchNumber, "missed-version");
         }
         co_return true;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -5,6 +5,7 @@
 #include "connection/connectiontimer.h"
 #include "connection/detachedtask.h"
 #include "connection/messagefields.h"
+#include "connection/sleepfor.h"
 #include "process/scopeguard.h"
 #include "process/suspensionmeter.h"
 #include "process/wallclock.h"
@@ -196,11 +197,8 @@
 /** Measures the slowdown of the VM periodically while requests wait for its end, and starts them when it ends. */
 Task<void> TargetService::watchSlowdown()
 {
-    asio::steady_timer timer(m_loop);
     while (m_slotQueue.usage().waiting > 0 && m_slowdownDetector.isSlow(SteadyClock().now())) {
-        timer.expires_after(HostSlowdownDetector::ReadingRefreshInterval);
-        ErrorCode ignored; // the timer is not cancelled
-        co_await timer.async_wait(redirectError(ignored));
+        co_await sleepFor(m_loop, HostSlowdownDetector::ReadingRefreshInterval);
         co_await refreshHostSlowdown();
         m_slotQueue.grantWaiting(SteadyClock().now());
     }
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -11,6 +11,7 @@
 #include "connection/httplistener.h"
 #include "connection/messagefields.h"
 #include "connection/peercodec.h"
+#include "connection/sleepfor.h"
 #include "process/clustersync.h"
 #include "process/suspensionmeter.h"
 #include "process/targetservice.h"
@@ -307,11 +308,8 @@
     Task<bool> waitUntilLeaveKept(std::string id)
     {
         const TimePoint end = SteadyClock().now() + LeaveKeepTimeout;
-        asio::steady_timer timer(m_loop);
         while (m_target.record().id.empty() && SteadyClock().now() < end) {
-            timer.expires_after(LeavePollInterval);
-            ErrorCode ignored; // nothing cancels this timer
-            co_await timer.async_wait(redirectError(ignored));
+            co_await sleepFor(m_loop, LeavePollInterval);
         }
         const BackendRecord &record = m_target.record();
         if (record.id != id || !record.isLeaving) {
--- a/tests/connection/backendbrokenanswerstest.cpp
+++ b/tests/connection/backendbrokenanswerstest.cpp
@@ -5,7 +5,6 @@
 #include <catch2/catch.hpp>
 
 #include <mutex>
-#include <set>
 
 using namespace carobjunction;
 using namespace std::chrono_literals;
@@ -19,14 +18,12 @@
         client.setAddress({ "127.0.0.1", server.port() });
     }
 
-    RawAnswer answerTo(const HttpRequest &head, BrokenAnswerServer::RequestPosition position)
+    RawAnswer answerTo(const HttpRequest &head)
     {
         const std::scoped_lock lock(m_mutex);
-        requestsAfterBrokenAnswers += static_cast<int>(m_connectionsWithBrokenAnswer.count(position.connection));
         if (head.target() != "/broken") {
             return { "HTTP/1.1 200 OK\r\nCarob-Request-Id: " + fieldValue(head, "Carob-Request-Id") + "\r\nContent-Length: 2\r\n\r\nok" };
         }
-        m_connectionsWithBrokenAnswer.insert(position.connection);
         return m_answer;
     }
 
@@ -60,17 +57,15 @@
         }
     }
 
-    std::atomic<int> requestsAfterBrokenAnswers = 0; /**< Requests that arrived on a connection after a broken answer. */
     BackendClient client { 16U << 20U };
 
 private:
     std::mutex m_mutex;
     RawAnswer m_answer;
-    std::set<int> m_connectionsWithBrokenAnswer;
 
 public:
-    RunningBrokenAnswerServer server { [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition position) {
-        return answerTo(head, position);
+    RunningBrokenAnswerServer server { [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition) {
+        return answerTo(head);
     } };
 };
 
@@ -83,7 +78,7 @@
             checkOutcomeIsUnknown(broken.answer);
         }
     }
-    CHECK(requestsAfterBrokenAnswers == 0);
+    CHECK(server.misusedConnections() == 0);
 }
 
 TEST_CASE_METHOD(BackendBrokenAnswersFixture, "BackendClient.resetDuringTheUpload.leavesTheOutcomeUnknown")
--- a/tests/connection/brokenanswers.h
+++ b/tests/connection/brokenanswers.h
@@ -28,7 +28,7 @@
     std::ostringstream chunkSize;
     chunkSize << std::hex << body.size();
     const std::string chunks = chunkSize.str() + "\r\n" + body + "\r\n0\r\n\r\n";
-    return {
+    std::vector<BrokenAnswer> answers {
         { "status zero", { "HTTP/1.1 000 Trouble\r\n" + fields + length + "\r\n" + body } },
         { "status beyond 599", { "HTTP/1.1 600 Trouble\r\n" + fields + length + "\r\n" + body } },
         { "status of four digits", { "HTTP/1.1 2000 OK\r\n" + fields + length + "\r\n" + body } },
@@ -52,6 +52,10 @@
         { "chunk without an end", { start + "Transfer-Encoding: chunked\r\n\r\n" + chunks.substr(0, chunks.size() - 5), ConnectionEnd::Close } },
         { "end of the connection in the head", { start, ConnectionEnd::Close } },
     };
+    for (BrokenAnswer &broken : answers) {
+        broken.answer.endsUse = true;
+    }
+    return answers;
 }
 
 /** BrokenAnswerServer on a thread of its own, for clients that block. */
@@ -71,6 +75,11 @@
     RunningBrokenAnswerServer(const RunningBrokenAnswerServer &) = delete;
     RunningBrokenAnswerServer &operator=(const RunningBrokenAnswerServer &) = delete;
 
+    int misusedConnections() const
+    {
+        return m_server.misusedConnections;
+    }
+
     uint16_t port() const
     {
         return m_server.address().port();
--- a/tests/connection/brokenanswerserver.h
+++ b/tests/connection/brokenanswerserver.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <limits>
 #include <optional>
@@ -30,6 +31,7 @@
     size_t uploadBefore = WholeUpload; /**< Bytes of the request body that are read before the answer is sent. */
     size_t uploadAfter = 0; /**< Further bytes of the request body that are read before the connection ends. */
     Duration endDelay = Duration::zero(); /**< Time between the answer and the end of the connection. */
+    bool endsUse = false; /**< Whether the client must not use the connection again. */
 };
 
 /**
@@ -60,6 +62,8 @@
         return m_acceptor.local_endpoint();
     }
 
+    std::atomic<int> misusedConnections = 0; /**< Connections on which a request arrived after an answer that ends their use. */
+
 private:
     static constexpr int ReceiveBufferBytes = 16 << 10;
 
@@ -79,6 +83,7 @@
     Task<void> serve(std::shared_ptr<Tcp::socket> socket, int connection)
     {
         beast::flat_buffer buffer;
+        bool isUseEnded = false;
         for (int number = 1;; ++number) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(std::numeric_limits<uint64_t>::max());
@@ -88,8 +93,10 @@
                 co_return;
             }
             size_t unread = static_cast<size_t>(parser.content_length().value_or(0));
+            misusedConnections += isUseEnded ? 1 : 0;
             const HttpRequest head(parser.release());
             const RawAnswer answer = m_answer(head, { connection, number });
+            isUseEnded = answer.endsUse;
             co_await discard(*socket, buffer, unread, answer.uploadBefore);
             co_await asio::async_write(*socket, asio::buffer(answer.bytes), redirectError(error));
             if (answer.end) {
--- a/tests/connection/peerbrokenanswerstest.cpp
+++ b/tests/connection/peerbrokenanswerstest.cpp
@@ -1,5 +1,5 @@
+#include "connection/awaittask.h"
 #include "connection/brokenanswers.h"
-#include "connection/httpexchangefixture.h"
 #include "connection/peerclients.h"
 #include "connection/protocolconversion.h"
 #include "platform/rowsdialect.h"
@@ -23,24 +23,10 @@
 
 /** Server that answers each reader of a daemon with a chosen broken answer, on a kept and on a new connection. */
 struct BrokenAnswerReadersFixture {
-    RawAnswer answerTo(BrokenAnswerServer::RequestPosition position)
-    {
-        requestsAfterBrokenAnswers += static_cast<int>(connectionsWithBrokenAnswer.count(position.connection));
-        if (isBroken) {
-            connectionsWithBrokenAnswer.insert(position.connection);
-        }
-        return isBroken ? broken : proper;
-    }
-
     template<typename Result>
     Result await(Task<Result> task)
     {
-        std::optional<Result> result;
-        asio::co_spawn(loop, std::move(task), [&](std::exception_ptr, Result value) { result = std::move(value); });
-        loop.restart();
-        while (!result && loop.run_one() > 0) { }
-        REQUIRE(result.has_value());
-        return std::move(*result);
+        return awaitTask(loop, std::move(task));
     }
 
     /**
@@ -61,7 +47,7 @@
                 check();
             }
         }
-        CHECK(requestsAfterBrokenAnswers == 0);
+        CHECK(server.misusedConnections == 0);
     }
 
     std::string address() const
@@ -73,10 +59,8 @@
     RawAnswer proper;
     RawAnswer broken;
     bool isBroken = false;
-    std::set<int> connectionsWithBrokenAnswer;
-    int requestsAfterBrokenAnswers = 0;
-    BrokenAnswerServer server { loop, [this](const HttpRequest &, BrokenAnswerServer::RequestPosition position) {
-                                   return answerTo(position);
+    BrokenAnswerServer server { loop, [this](const HttpRequest &, BrokenAnswerServer::RequestPosition) {
+                                   return isBroken ? broken : proper;
                                } };
 };
 
--- a/tests/connection/peerclientstest.cpp
+++ b/tests/connection/peerclientstest.cpp
@@ -1,4 +1,5 @@
 #include "connection/peerclients.h"
+#include "connection/awaittask.h"
 #include "connection/rawanswerserver.h"
 
 #include <boost/beast/http/write.hpp>
@@ -39,12 +40,7 @@
     template<typename Result>
     Result await(Task<Result> task)
     {
-        std::optional<Result> result;
-        asio::co_spawn(loop, std::move(task), [&](std::exception_ptr, Result value) { result = std::move(value); });
-        loop.restart();
-        while (!result && loop.run_one() > 0) { }
-        REQUIRE(result.has_value());
-        return std::move(*result);
+        return awaitTask(loop, std::move(task));
     }
 
     ForwardResult forward()
--- a/tests/platform/brokenanswerstest.cpp
+++ b/tests/platform/brokenanswerstest.cpp
@@ -48,14 +48,14 @@
     {
         const std::string id = fieldValue(head, "X-Attempt-Id");
         const std::string path(head.target().data(), head.target().size());
-        requestsAfterBrokenAnswers += static_cast<int>(connectionsWithBrokenAnswer.count(position.connection));
         if (path.find("broken") == std::string::npos) {
             return { answerHead("200 OK", id) + "Content-Length: 2\r\n\r\nok" };
         }
-        connectionsWithBrokenAnswer.insert(position.connection);
         startedIds.insert(id);
         wasConnectionKept = position.request > 1;
-        return brokenAnswer(id);
+        RawAnswer broken = brokenAnswer(id);
+        broken.endsUse = true;
+        return broken;
     }
 
     HttpResponse sendBroken(Via via, const std::string &route, const std::string &body)
@@ -99,14 +99,12 @@
                 }
             }
         }
-        CHECK(requestsAfterBrokenAnswers == 0);
+        CHECK(server.misusedConnections == 0);
     }
 
     std::function<RawAnswer(const std::string &id)> brokenAnswer;
-    std::set<int> connectionsWithBrokenAnswer;
     std::multiset<std::string> startedIds; /**< Ids of the requests to which a broken answer was sent. */
     std::string lastId; /**< Id of the latest request that was to be answered with a broken answer. */
-    int requestsAfterBrokenAnswers = 0; /**< Requests that arrived on a connection after a broken answer. */
     bool wasConnectionKept = false; /**< Whether the latest broken answer was sent on a connection that had carried another answer. */
     BrokenAnswerServer server;
 };
--- a/tests/process/storebrokenanswerstest.cpp
+++ b/tests/process/storebrokenanswerstest.cpp
@@ -5,7 +5,6 @@
 #include <catch2/catch.hpp>
 
 #include <mutex>
-#include <set>
 
 using namespace carobjunction;
 using namespace std::chrono_literals;
@@ -29,14 +28,12 @@
         client = StoreClient::create(options);
     }
 
-    RawAnswer answerTo(const HttpRequest &head, BrokenAnswerServer::RequestPosition position)
+    RawAnswer answerTo(const HttpRequest &head)
     {
         const std::scoped_lock lock(m_mutex);
-        requestsAfterBrokenAnswers += static_cast<int>(m_connectionsWithBrokenAnswer.count(position.connection));
         if (!head.target().ends_with("broken")) {
             return { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + StoredObject };
         }
-        m_connectionsWithBrokenAnswer.insert(position.connection);
         return m_answer;
     }
 
@@ -46,17 +43,15 @@
         m_answer = answer;
     }
 
-    std::atomic<int> requestsAfterBrokenAnswers = 0; /**< Requests that arrived on a connection after a broken answer. */
     std::unique_ptr<StoreClient> client;
 
 private:
     std::mutex m_mutex;
     RawAnswer m_answer;
-    std::set<int> m_connectionsWithBrokenAnswer;
 
 public:
-    RunningBrokenAnswerServer server { [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition position) {
-        return answerTo(head, position);
+    RunningBrokenAnswerServer server { [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition) {
+        return answerTo(head);
     } };
 };
 
@@ -77,7 +72,7 @@
             CHECK(LastError<StoreError>::get().mayHaveTakenEffect);
         }
     }
-    CHECK(requestsAfterBrokenAnswers == 0);
+    CHECK(server.misusedConnections() == 0);
 }
 
 TEST_CASE_METHOD(StoreBrokenAnswersFixture, "StoreClient.resetDuringTheUploadOfAnObject.isNoAnswer")
