Say that a request ran only if the header of an oversized answer shows it

Cause: carobjunctiond reported outcome "ran" for each answer over the size limit, also if its header never ended, or was that of a refusal (a garbled length makes one oversized). A limit on the body also hid a status that HTTP does not define.

Change: ExchangeResult holds the header of an oversized answer, and BackendClient looks at it. ResponseParser checks the head first. Both clients stop their event loop before they destroy the pool.

--- a/src/connection/backendclient.cpp
+++ b/src/connection/backendclient.cpp
@@ -46,9 +46,9 @@
     return message;
 }
 
-bool isRefusal(const HttpResponse &response)
+bool isRefusal(const http::fields &head)
 {
-    return fieldValue(response, headernames::OutcomeField) == nameOf(Outcome::NotRun);
+    return fieldValue(head, headernames::OutcomeField) == nameOf(Outcome::NotRun);
 }
 
 ExchangeOptions makeOptions(const CallRequest &request, uint64_t maxBodyBytes)
@@ -105,7 +105,8 @@
         // A backend server that does not accept the connection in time is busy, and no evidence of a crash.
         return resultWithoutResponse(Outcome::NotRun, exchange.isConnectionRefused ? Reason::TargetDown : Reason::Full);
     case ExchangeEnd::TooLarge:
-        return resultWithoutResponse(Outcome::Ran, Reason::AnswerTooLarge);
+        // Without a whole header, or if it is that of a refusal, the response does not show that the request ran.
+        return resultWithoutResponse(exchange.oversizedHead && !isRefusal(*exchange.oversizedHead) ? Outcome::Ran : Outcome::Unknown, Reason::AnswerTooLarge);
     case ExchangeEnd::TimedOut:
     case ExchangeEnd::ResponseLost:
     case ExchangeEnd::Unverified:
@@ -122,6 +123,11 @@
 {
 }
 
+BackendClient::~BackendClient()
+{
+    m_thread.stop();
+}
+
 void BackendClient::setAddress(const SocketAddress &address)
 {
     const auto server = parseEndpoint(address.toString());
--- a/src/connection/backendclient.h
+++ b/src/connection/backendclient.h
@@ -26,14 +26,17 @@
 public:
     /** @param maxBodyBytes  maximum size of a response body */
     explicit BackendClient(uint64_t maxBodyBytes);
+    ~BackendClient();
+    BackendClient(const BackendClient &) = delete;
+    BackendClient &operator=(const BackendClient &) = delete;
 
     /** Sets the address for subsequent requests and closes the idle connections to the previous address. */
     void setAddress(const SocketAddress &address);
 
     /**
      * Sends a request once, without retries, and waits for the complete response until the deadline of the request.
-     * @return Ran with a complete response or one over the size limit; NotRun if nothing was sent or the backend server reports that the request
-     *         did not run; otherwise Unknown
+     * @return Ran with a complete response, or with the header of one whose body is over the size limit; NotRun if nothing was sent or the backend server
+     * reports that the request did not run; otherwise Unknown
      */
     CallResult call(const CallRequest &request);
 
--- a/src/connection/blockinghttpclient.cpp
+++ b/src/connection/blockinghttpclient.cpp
@@ -19,6 +19,11 @@
 {
 }
 
+BlockingHttpClient::~BlockingHttpClient()
+{
+    m_thread.stop();
+}
+
 HttpRequest BlockingHttpClient::makeRequest(http::verb method, const std::string &target) const
 {
     HttpRequest request(method, target, 11);
--- a/src/connection/blockinghttpclient.h
+++ b/src/connection/blockinghttpclient.h
@@ -16,6 +16,10 @@
     /** @param address  server as `ip:port`. @return a client, or null if the address has another format */
     static std::unique_ptr<BlockingHttpClient> create(const std::string &address, const PoolLimits &limits);
 
+    ~BlockingHttpClient();
+    BlockingHttpClient(const BlockingHttpClient &) = delete;
+    BlockingHttpClient &operator=(const BlockingHttpClient &) = delete;
+
     /** @return a request to the server, with its Host field and no other */
     HttpRequest makeRequest(http::verb method, const std::string &target) const;
 
--- a/src/connection/eventloopthread.h
+++ b/src/connection/eventloopthread.h
@@ -11,7 +11,7 @@
 namespace carobjunction
 {
 
-/** Event loop that runs on a thread of its own, for callers that block. The destructor stops the loop and joins the thread. */
+/** Event loop that runs on a thread of its own, for callers that block. */
 class EventLoopThread
 {
 public:
@@ -21,8 +21,7 @@
 
     ~EventLoopThread()
     {
-        m_loop.stop();
-        m_thread.join();
+        stop();
     }
 
     EventLoopThread(const EventLoopThread &) = delete;
@@ -33,6 +32,15 @@
         return m_loop;
     }
 
+    /** Stops the event loop and joins its thread, so that objects which the loop uses may be destroyed. Further calls have no effect. */
+    void stop()
+    {
+        m_loop.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
     /** Runs a task on the event loop, and blocks until it has ended. Thread-safe, but must not be called on the thread of the loop. */
     template<typename T>
     T run(Task<T> task)
--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -209,7 +209,7 @@
     co_return ErrorCode();
 }
 
-Task<ErrorCode> HttpClientPool::receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response)
+Task<ErrorCode> HttpClientPool::receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result)
 {
     int interim = 0;
     for (int unmatched = 0; unmatched < MaxUnmatchedResponses;) {
@@ -217,6 +217,9 @@
         IncomingBodyReservation bodyReservation(m_limits.sharedBodyBudget, 1);
         const ErrorCode error = co_await readResponse(connection, parser, bodyReservation, options.onResponseStarted);
         connection->hasPartialResponse = error && parser.hasStarted();
+        if (exceedsResponseLimit(error) && parser.isHeadComplete()) {
+            result.oversizedHead = parser.head();
+        }
         if (error) {
             co_return error;
         }
@@ -234,8 +237,8 @@
         received.bodyReservation = bodyReservation.complete(received.body().size());
         ++connection->responsesRead;
         if (!options.matchesRequest || options.matchesRequest(received)) {
-            response = std::move(received);
-            connection->isReusable = !endsAtConnectionClose && response.keep_alive() && connection->buffer.size() == 0;
+            result.response = std::move(received);
+            connection->isReusable = !endsAtConnectionClose && result.response.keep_alive() && connection->buffer.size() == 0;
             co_return ErrorCode();
         }
         if (endsAtConnectionClose) {
@@ -253,7 +256,7 @@
 }
 
 Task<ErrorCode>
-HttpClientPool::sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response)
+HttpClientPool::sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, ExchangeResult &result)
 {
     connection->isRequestSent = false;
     connection->sendError = {};
@@ -262,11 +265,11 @@
         if (connection->sendError) {
             co_return connection->sendError;
         }
-        co_return co_await receiveResponse(connection, *request, options, response);
+        co_return co_await receiveResponse(connection, *request, options, result);
     }
     // The request is shared, because this coroutine returns when the response is complete, possibly before the request is sent.
     spawnDetached(m_loop, "send-request", sendRequest(connection, request));
-    const ErrorCode error = co_await receiveResponse(connection, *request, options, response);
+    const ErrorCode error = co_await receiveResponse(connection, *request, options, result);
     connection->isReusable = connection->isReusable && connection->isRequestSent;
     co_return error;
 }
@@ -291,7 +294,7 @@
             connection->close();
         });
         const Cancellation::Registration registration(*cancellation, [connection] { connection->close(); });
-        error = co_await sendAndReceive(connection, message, options, result.response);
+        error = co_await sendAndReceive(connection, message, options, result);
     }
     if (!error && options.identifiesRequest && connection->responsesRead > 1 && !options.identifiesRequest(result.response)) {
         result.end = ExchangeEnd::Unverified;
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace carobjunction
@@ -38,6 +39,7 @@
 struct ExchangeResult {
     ExchangeEnd end = ExchangeEnd::NotSent;
     HttpResponse response;
+    std::optional<http::response_header<>> oversizedHead; /**< Header of a response that is TooLarge; empty if the header did not arrive whole. */
     bool isConnectionRefused = false; /**< Whether nothing was sent because the server refused the connection, so that it does not run. */
     std::string detail; /**< Description of the last error of the connection; empty if there was none. */
 };
@@ -108,9 +110,9 @@
     ConnectionPtr acquireIdle(const std::string &requestId);
     Task<ConnectionPtr> connect(const ExchangeOptions &options, CancellationPtr cancellation, ExchangeResult &result);
     Task<ErrorCode>
-    sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, HttpResponse &response);
+    sendAndReceive(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request, const ExchangeOptions &options, ExchangeResult &result);
     static Task<void> sendRequest(ConnectionPtr connection, std::shared_ptr<const HttpRequest> request);
-    Task<ErrorCode> receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, HttpResponse &response);
+    Task<ErrorCode> receiveResponse(ConnectionPtr connection, const HttpRequest &request, const ExchangeOptions &options, ExchangeResult &result);
     static Task<ErrorCode> receiveBytes(ConnectionPtr connection);
     Task<StreamEnd> streamEnd(ConnectionPtr connection);
     Task<ErrorCode>
--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -135,8 +135,9 @@
     if (error == http::error::need_more) {
         error = {};
     }
-    if (!error && !wasHeadComplete && isHeadComplete()) {
-        error = checkHead();
+    if (!wasHeadComplete && isHeadComplete() && (!error || error == http::error::body_limit)) {
+        const ErrorCode defect = checkHead(); // a defect says more than the size of a body
+        error = defect ? defect : error;
     } else if (!error && isComplete() && m_parser.chunked()) {
         error = checkTrailer(bytes.substr(0, consumed));
     }
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -107,6 +107,12 @@
         return m_parser.is_header_done() && static_cast<bool>(m_parser.content_length());
     }
 
+    /** @return status and fields; complete if isHeadComplete() */
+    const http::response_header<> &head() const
+    {
+        return m_parser.get().base();
+    }
+
     /** @return number of bytes of the body that have been parsed */
     size_t bodyBytes() const
     {
--- a/tests/connection/backendbrokenanswerstest.cpp
+++ b/tests/connection/backendbrokenanswerstest.cpp
@@ -59,11 +59,8 @@
 
     BackendClient client { 16U << 20U };
 
-private:
-    std::mutex m_mutex;
+    std::mutex m_mutex; /**< Guards m_answer. */
     RawAnswer m_answer;
-
-public:
     RunningBrokenAnswerServer server { [this](const HttpRequest &head, BrokenAnswerServer::RequestPosition) {
         return answerTo(head);
     } };
@@ -96,3 +93,22 @@
     client.setAddress({ "127.0.0.1", broken.port() });
     CHECK(client.acceptsConnections());
 }
+
+TEST_CASE_METHOD(BackendBrokenAnswersFixture, "BackendClient.oversizedAnswer.hasRunOnlyIfItsHeaderSaysSo")
+{
+    // Guards against a refusal, or a header without an end, that is reported as the answer of a request that ran.
+    const std::string start = "HTTP/1.1 200 OK\r\nCarob-Request-Id: r\r\n";
+    const std::string length = "Content-Length: 999999999\r\n\r\n";
+    for (const auto &[bytes, outcome] : { std::pair(start + length, Outcome::Ran),
+                                          std::pair(start + "Carob-Outcome: not-run\r\n" + length, Outcome::Unknown),
+                                          std::pair(start + "Long: " + std::string(1U << 20U, 'x'), Outcome::Unknown) }) {
+        CAPTURE(bytes.substr(0, 100));
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_answer = { bytes };
+        }
+        const CallResult result = call("/broken");
+        CHECK(result.outcome == outcome);
+        CHECK(result.reason == Reason::AnswerTooLarge);
+    }
+}
--- a/tests/connection/responseparsertest.cpp
+++ b/tests/connection/responseparsertest.cpp
@@ -1,6 +1,7 @@
 #include "connection/responseparser.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -250,3 +251,10 @@
         CHECK(isValidField("Name", text) == parse(valued, valued.size()).isComplete);
     }
 }
+
+TEST_CASE_METHOD(ResponseParserFixture, "ResponseParser.oversizedBody.doesNotHideADefectOfTheHead")
+{
+    const std::string length = "Content-Length: " + std::to_string(MaxBodyBytes + 1) + "\r\n\r\n";
+    checkHasDefect("HTTP/1.1 000 Trouble\r\n" + length, ResponseDefect::StatusCode);
+    CHECK(parse("HTTP/1.1 200 OK\r\n" + length, 1).error == http::error::body_limit);
+}
