Believe only the backend server that the settings name

Any other id or later start time then counted as the server's next process (event 3002, "i-other", service=unnamed), every heartbeat of the real one as outdated (3001 "ignored"), and the leave was stored and restored at each start (3007).

The gate holds the service and refuses heartbeats and restored records of another one, so that neither start time, sequence number nor state of a foreign message is ever compared. Records bear "verified". A leave without it was stored by an earlier program, which also believed others: it closes the gate only to the process that it names, for 10 s, which covers a server that serves on after its leave; at peers a verified record ends it.

Why it works: messages are refused before the state that they could outrank is touched, and what got into records before is told apart by the mark.

--- a/include/carobjunction/process/backendgate.h
+++ b/include/carobjunction/process/backendgate.h
@@ -4,7 +4,9 @@
 #include <carobjunction/process/vmrecord.h>
 
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace carobjunction
 {
@@ -23,6 +25,7 @@
 
 /** Effect of a heartbeat on the state of a BackendGate. */
 enum class HeartbeatResult {
+    Foreign, /**< The heartbeat is not from the backend server of this VM and was ignored. */
     Stale, /**< The heartbeat is older than the current state and was ignored. */
     Refreshed, /**< The heartbeat timeout was restarted; the record is unchanged. */
     Changed, /**< The record changed. */
@@ -35,14 +38,18 @@
  * The gate is closed until the first heartbeat is received. It stays closed for a process (identified by id and start time) that has
  * announced that it is leaving. It is not opened by later heartbeats from that process, by delayed heartbeats from an earlier process,
  * or by heartbeats with a sequence number that is not greater than the last one received.
+ *
+ * Only the backend server that the settings name is believed. Heartbeats and stored records that name another service stem from another writer
+ * and change nothing, however late the start time or sequence number is that they contain.
  */
 class BackendGate
 {
 public:
     /**
+     * @param service  service of this VM's backend server, from the settings
      * @param heartbeatTimeout  time without a heartbeat after which the backend server is considered down until the next heartbeat
      */
-    explicit BackendGate(Duration heartbeatTimeout) : m_heartbeatTimeout(heartbeatTimeout)
+    BackendGate(std::string service, Duration heartbeatTimeout) : m_service(std::move(service)), m_heartbeatTimeout(heartbeatTimeout)
     {
     }
 
@@ -52,6 +59,12 @@
     /** Time for which a leave notice applies to processes with the same id, unless they started after the notice. */
     static constexpr Duration LeaveNoticeRetention = std::chrono::seconds(30);
 
+    /**
+     * Time for which a restored leave applies that is not verified: it may stem from another writer, but also from the backend server, which serves
+     * on for some seconds after its leave. Shorter than the time in which a restarted system must serve again.
+     */
+    static constexpr Duration UnverifiedLeaveRetention = std::chrono::seconds(10);
+
     /**
      * Processes a leave notice of a backend server. The notice also applies if no heartbeat from the backend server was received before:
      * the daemon may have been restarted, and a heartbeat sent before the notice may still arrive.
@@ -63,7 +76,8 @@
 
     /**
      * Restores the leaving state of the backend server after a restart of the daemon. A record that is not leaving does not open the gate, but a
-     * leave notice of its process, which may have been received before or may follow, applies to it.
+     * leave notice of its process, which may have been received before or may follow, applies to it. A leave that is not verified closes the gate
+     * only to the process that it names, for UnverifiedLeaveRetention.
      * @param persisted  record of the backend server from before the restart
      * @return whether the record changed
      */
@@ -102,16 +116,27 @@
         uint64_t unixTimeMs = 0; /**< Processes that started after this time are not affected by the notice. */
     };
 
+    /** Leave from before a restart of the daemon that may stem from another writer. */
+    struct UnverifiedLeave {
+        std::string id;
+        uint64_t startedAtMs = 0; /**< Later processes are not affected. */
+        TimePoint restoredAt;
+    };
+
     bool isStale(const Heartbeat &heartbeat) const;
+    bool isHeldBack(const std::string &id, uint64_t startedAtMs, TimePoint now) const;
+    bool holdBack(const BackendRecord &persisted, TimePoint now);
     bool hasLeft(const std::string &id, uint64_t startedAtMs, TimePoint now) const;
     void recordLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs);
 
+    std::string m_service;
     Duration m_heartbeatTimeout;
     BackendRecord m_record;
     BackendRecord m_formerRecord; /**< Record from before a restart of the daemon, until a heartbeat is received. */
     uint64_t m_lastSequence = 0;
     bool m_isLeaving = false;
     std::map<std::string, LeaveNotice> m_leaveNotices; /**< By id of the backend server. */
+    std::optional<UnverifiedLeave> m_unverifiedLeave;
     TimePoint m_lastHeartbeatAt;
     TimePoint m_coldUntil;
 };
--- a/include/carobjunction/process/vmrecord.h
+++ b/include/carobjunction/process/vmrecord.h
@@ -34,6 +34,8 @@
     uint32_t slots = 0; /**< Maximum number of concurrent requests. */
     BackendState state = BackendState::Unknown;
     bool isLeaving = false; /**< The backend server has announced that it is leaving. This remains in effect after a restart of the daemon. */
+    /** Whether the daemon that wrote the record had checked all fields of the backend server's messages. Earlier programs also believed other writers. */
+    bool isVerified = true;
 
     bool operator==(const BackendRecord &) const = default;
 };
--- a/src/connection/boundedjson.cpp
+++ b/src/connection/boundedjson.cpp
@@ -1,6 +1,8 @@
 #include "connection/boundedjson.h"
 
 #include <limits>
+#include <set>
+#include <vector>
 
 namespace carobjunction::boundedjson
 {
@@ -8,17 +10,18 @@
 namespace
 {
 
-/** SAX handler that stops the parser at the first array or object nested deeper than the limit. Stores no values. */
-class NestingDepthChecker
+/** SAX handler that stops the parser at the first array or object that exceeds a limit. Stores no values. */
+class StructureChecker
 {
 public:
-    explicit NestingDepthChecker(size_t maxDepth) : m_maxDepth(maxDepth)
+    explicit StructureChecker(const JsonLimits &limits) : m_limits(limits)
     {
     }
 
-    bool isTooDeep() const
+    /** @return what is wrong with the structure; empty if it is within the limits */
+    const std::string &error() const
     {
-        return m_isTooDeep;
+        return m_error;
     }
 
     // NOLINTBEGIN(readability-identifier-naming): these function names are given by the SAX interface of nlohmann::json.
@@ -50,9 +53,12 @@
     {
         return true;
     }
-    bool key(Json::string_t &)
+    bool key(Json::string_t &name)
     {
-        return true;
+        if (m_limits.rejectsRepeatedFields && !m_fields.back().insert(name).second) {
+            m_error = "field " + name + " occurs twice";
+        }
+        return m_error.empty();
     }
     bool start_object(size_t)
     {
@@ -79,19 +85,28 @@
 private:
     bool enter()
     {
-        m_isTooDeep = ++m_depth > m_maxDepth;
-        return !m_isTooDeep;
+        if (m_limits.rejectsRepeatedFields) {
+            m_fields.emplace_back();
+        }
+        if (++m_depth > m_limits.depth) {
+            m_error = "nested deeper than " + std::to_string(m_limits.depth) + " levels";
+        }
+        return m_error.empty();
     }
 
     bool leave()
     {
+        if (m_limits.rejectsRepeatedFields) {
+            m_fields.pop_back();
+        }
         --m_depth;
         return true;
     }
 
-    size_t m_maxDepth;
+    JsonLimits m_limits;
     size_t m_depth = 0;
-    bool m_isTooDeep = false;
+    std::vector<std::set<std::string>> m_fields; /**< Names of the fields seen at each level, empty for arrays; used only to find repeated ones. */
+    std::string m_error;
 };
 
 void checkLimits(std::string_view bytes, const JsonLimits &limits, Json::input_format_t format)
@@ -99,10 +114,10 @@
     if (bytes.size() > limits.bytes) {
         throw MessageParseError("longer than " + std::to_string(limits.bytes) + " bytes");
     }
-    NestingDepthChecker depthChecker(limits.depth);
-    Json::sax_parse(bytes.begin(), bytes.end(), &depthChecker, format);
-    if (depthChecker.isTooDeep()) {
-        throw MessageParseError("nested deeper than " + std::to_string(limits.depth) + " levels");
+    StructureChecker checker(limits);
+    Json::sax_parse(bytes.begin(), bytes.end(), &checker, format);
+    if (!checker.error().empty()) {
+        throw MessageParseError(checker.error());
     }
 }
 
--- a/src/connection/boundedjson.h
+++ b/src/connection/boundedjson.h
@@ -16,6 +16,7 @@
 struct JsonLimits {
     size_t bytes = 0;
     size_t depth = 0; /**< Maximum number of nested arrays and objects. */
+    bool rejectsRepeatedFields = false; /**< Refuses an object in which a field occurs twice: readers may differ in the value that they take. */
 };
 
 /** Error in a message received from another process. Thrown by decoders and caught by boundedjson::decode(). */
--- a/src/process/backendgate.cpp
+++ b/src/process/backendgate.cpp
@@ -25,8 +25,28 @@
     m_leaveNotices[id] = { now, unixTimeMs };
 }
 
+bool BackendGate::isHeldBack(const std::string &id, uint64_t startedAtMs, TimePoint now) const
+{
+    return m_unverifiedLeave && m_unverifiedLeave->id == id && startedAtMs <= m_unverifiedLeave->startedAtMs
+        && now - m_unverifiedLeave->restoredAt < UnverifiedLeaveRetention;
+}
+
+/** Closes the gate to the process of a leave that is not verified. @return whether the record changed */
+bool BackendGate::holdBack(const BackendRecord &persisted, TimePoint now)
+{
+    const bool isKnown = m_unverifiedLeave && m_unverifiedLeave->id == persisted.id && m_unverifiedLeave->startedAtMs == persisted.startedAtMs;
+    if (!isKnown) {
+        m_unverifiedLeave = { persisted.id, persisted.startedAtMs, now };
+    }
+    m_formerRecord = persisted;
+    return isHeldBack(m_record.id, m_record.startedAtMs, now) && markGone();
+}
+
 HeartbeatResult BackendGate::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
 {
+    if (heartbeat.service != m_service) {
+        return HeartbeatResult::Foreign;
+    }
     const bool isKnown = !m_record.id.empty();
     if (isKnown && isStale(heartbeat)) {
         return HeartbeatResult::Stale;
@@ -39,8 +59,9 @@
     m_lastSequence = heartbeat.sequence;
     m_lastHeartbeatAt = now;
     m_coldUntil = now + heartbeat.coldRemaining;
-    const BackendState state
-        = !m_isLeaving ? BackendState::Ready : (m_record.state == BackendState::Gone && isSameProcess ? BackendState::Gone : BackendState::Draining);
+    const bool remainsGone = m_isLeaving && isSameProcess && m_record.state == BackendState::Gone;
+    const bool isGone = remainsGone || isHeldBack(heartbeat.id, heartbeat.startedAtMs, now);
+    const BackendState state = isGone ? BackendState::Gone : m_isLeaving ? BackendState::Draining : BackendState::Ready;
     const BackendRecord record { heartbeat.id, heartbeat.startedAtMs, heartbeat.service, heartbeat.slots, state, m_isLeaving };
     if (record == m_record) {
         return HeartbeatResult::Refreshed;
@@ -59,14 +80,21 @@
         return false;
     }
     m_isLeaving = true;
-    const bool hasChanged = m_record.state != BackendState::Gone || !m_record.isLeaving;
-    m_record.state = BackendState::Gone;
-    m_record.isLeaving = true;
-    return hasChanged;
+    BackendRecord record = m_record;
+    record.state = BackendState::Gone;
+    record.isLeaving = true;
+    record.isVerified = true;
+    return std::exchange(m_record, record) != record;
 }
 
 bool BackendGate::restoreRecord(const BackendRecord &persisted, TimePoint now)
 {
+    if (persisted.service != m_service) {
+        return false;
+    }
+    if (persisted.isLeaving && !persisted.isVerified) {
+        return holdBack(persisted, now);
+    }
     const bool isLeaving = persisted.isLeaving || hasLeft(persisted.id, persisted.startedAtMs, now);
     if (!isLeaving) {
         m_formerRecord = persisted;
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -55,6 +55,7 @@
 
 TargetService::TargetService(asio::io_context &loop,
                              const Tcp::endpoint &backend,
+                             const std::string &service,
                              const PlatformHeaders &headers,
                              Duration heartbeatTimeout,
                              CrashHistory &crashHistory,
@@ -67,7 +68,7 @@
     , m_crashHistory(crashHistory)
     , m_routeServiceTimes(routeServiceTimes)
     , m_callbacks(std::move(callbacks))
-    , m_gate(heartbeatTimeout)
+    , m_gate(service, heartbeatTimeout)
     , m_restoreDeadline(SteadyClock().now() + RestoreTimeout)
     , m_probe(
           loop,
--- a/src/process/targetservice.h
+++ b/src/process/targetservice.h
@@ -35,6 +35,7 @@
 {
 public:
     /**
+     * @param service  service of the backend server, from the settings
      * @param heartbeatTimeout  time without a heartbeat after which the backend server counts as down
      * @param crashHistory  must outlive this object
      * @param routeServiceTimes  must outlive this object
@@ -42,6 +43,7 @@
      */
     TargetService(asio::io_context &loop,
                   const Tcp::endpoint &backend,
+                  const std::string &service,
                   const PlatformHeaders &headers,
                   Duration heartbeatTimeout,
                   CrashHistory &crashHistory,
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -81,6 +81,7 @@
         , m_bodyBudget(std::make_shared<BodyBudget>(bodyMemoryBytes(m_settings), [this] { m_metrics.add(Counter::BodiesWithoutRoom); }))
         , m_target(loop,
                    parseEndpoint(m_settings.backendAddress).value(),
+                   m_settings.service,
                    Platform::headers(),
                    m_settings.heartbeatInterval * HeartbeatTimeoutIntervals,
                    m_crashHistory,
@@ -324,7 +325,10 @@
             rejectControlCall("heartbeat of a backend server at an unexpected address: " + heartbeat.address, response);
             return;
         }
-        if (m_target.onHeartbeat(heartbeat) == HeartbeatResult::Stale) {
+        const HeartbeatResult result = m_target.onHeartbeat(heartbeat);
+        if (result == HeartbeatResult::Foreign) {
+            rejectControlCall("heartbeat of a backend server of an unexpected service: " + heartbeat.service, response);
+        } else if (result == HeartbeatResult::Stale) {
             EventLog::write(LogLevel::Info,
                             Event::TargetAnnounced,
                             { { "backend", heartbeat.id }, { "ignored", "the heartbeat is stale, or its process has already left" } });
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -33,7 +33,17 @@
 
 bool isSameProcess(const BackendRecord &a, const BackendRecord &b)
 {
-    return a.id == b.id && a.startedAtMs == b.startedAtMs;
+    return a.id == b.id && a.startedAtMs == b.startedAtMs && a.service == b.service;
+}
+
+/** Applies the leave of the backend server to the record of its VM, unless only the record is verified: then another writer may have sent the leave. */
+void keepLeave(VmState &vm)
+{
+    if (vm.record.backend.isVerified && !vm.leftBackend.isVerified) {
+        vm.leftBackend = {};
+    } else {
+        vm.record.backend = vm.leftBackend;
+    }
 }
 
 } // namespace
@@ -59,7 +69,7 @@
     if (record.backend.isLeaving) {
         vm.leftBackend = record.backend;
     } else if (!record.backend.id.empty() && isSameProcess(record.backend, vm.leftBackend)) {
-        vm.record.backend = vm.leftBackend;
+        keepLeave(vm);
     }
     if (hasRestarted) {
         vm.report = {};
--- a/src/process/vmrecordcodec.cpp
+++ b/src/process/vmrecordcodec.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr size_t MaxNestingDepth = 4; // a record has two levels
+constexpr JsonLimits RecordLimits { VmRecordCodec::MaxRecordBytes, 4, true }; // a record has two levels
 constexpr uint32_t MaxSlots = 65'535; // each running request needs a connection, and this is the number of ports of an address
 constexpr auto EarliestValidClock = std::chrono::milliseconds(1'767'225'600'000); // Unix time of 2026-01-01; a clock with an earlier time is wrong
 constexpr auto MaxClockLead = std::chrono::hours(50 * 365 * 24); // 50 years, far beyond any clock error
@@ -33,6 +33,7 @@
     }
     backend.state = *state;
     backend.isLeaving = json.value("leaving", false);
+    backend.isVerified = json.value("verified", false); // earlier programs do not write it
     if (backend.state == BackendState::Ready && backend.id.empty()) {
         throw MessageParseError("backend server is ready but has no id");
     }
@@ -77,7 +78,8 @@
                           { "service", backend.service },
                           { "slots", backend.slots },
                           { "state", nameOf(backend.state) },
-                          { "leaving", backend.isLeaving } } } };
+                          { "leaving", backend.isLeaving },
+                          { "verified", backend.isVerified } } } };
     return json.dump(-1, ' ', true, Json::error_handler_t::replace);
 }
 
@@ -91,7 +93,7 @@
 
 std::optional<VmRecord> VmRecordCodec::decode(std::string_view text, std::string *errorMessage)
 {
-    return boundedjson::decode([text] { return recordFromJson(boundedjson::parse(text, { MaxRecordBytes, MaxNestingDepth })); }, errorMessage);
+    return boundedjson::decode([text] { return recordFromJson(boundedjson::parse(text, RecordLimits)); }, errorMessage);
 }
 
 } // namespace carobjunction
--- a/tests/process/backendgatetest.cpp
+++ b/tests/process/backendgatetest.cpp
@@ -32,7 +32,7 @@
     }
 
     FakeClock clock;
-    BackendGate gate { 3s };
+    BackendGate gate { "ordering", 3s };
 };
 
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.noHeartbeatYet.isClosed")
@@ -181,11 +181,76 @@
     CHECK(gate.isOpen());
 }
 
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.heartbeatOfAnotherService.changesNothing")
+{
+    // Guards against a message of another writer that outranks the backend server, and takes it out until the daemon is replaced.
+    Heartbeat foreign = makeHeartbeat("other", 1000, 1000, true);
+    foreign.service = "unnamed";
+    CHECK(gate.onHeartbeat(foreign, clock.now()) == HeartbeatResult::Foreign);
+    CHECK(gate.record().id.empty());
+    gate.onHeartbeat(makeHeartbeat("a", 5, 1), clock.now());
+    for (const std::string id : { "other", "a" }) {
+        foreign.id = id;
+        CHECK(gate.onHeartbeat(foreign, clock.now()) == HeartbeatResult::Foreign);
+        CHECK(gate.isOpen());
+        CHECK(gate.record().id == "a");
+    }
+    CHECK(gate.onHeartbeat(makeHeartbeat("a", 5, 2), clock.now()) == HeartbeatResult::Refreshed);
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.restoredRecordOfAnotherService.isIgnored")
+{
+    // Guards against a foreign leave in the store that a restarted daemon puts into force.
+    for (const std::string id : { "other", "a" }) {
+        CHECK_FALSE(gate.restoreRecord({ id, 1000, "unnamed", 9, BackendState::Gone, true }, clock.now()));
+    }
+    gate.onHeartbeat(makeHeartbeat("a", 5, 1), clock.now());
+    CHECK(gate.isOpen());
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.restoredLeaveThatIsNotVerified.appliesForALimitedTime")
+{
+    // Guards against a foreign leave that an earlier program stored, and against requests to a server whose leave an earlier program has acknowledged.
+    const BackendRecord unverified { "a", 7, "ordering", 9, BackendState::Gone, true, false };
+    SECTION("restored before the first heartbeat")
+    {
+        CHECK_FALSE(gate.restoreRecord(unverified, clock.now()));
+        gate.onHeartbeat(makeHeartbeat("a", 5, 1), clock.now());
+    }
+    SECTION("restored after it")
+    {
+        gate.onHeartbeat(makeHeartbeat("a", 5, 1), clock.now());
+        CHECK(gate.restoreRecord(unverified, clock.now()));
+    }
+    CHECK_FALSE(gate.isOpen());
+    CHECK_FALSE(gate.record().isLeaving);
+    clock.advance(BackendGate::UnverifiedLeaveRetention - 1ms);
+    gate.restoreRecord(unverified, clock.now()); // a further peer returns it
+    gate.onHeartbeat(makeHeartbeat("a", 5, 2), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    clock.advance(1ms);
+    gate.onHeartbeat(makeHeartbeat("a", 5, 3), clock.now());
+    CHECK(gate.isOpen());
+    leave("a");
+    gate.onHeartbeat(makeHeartbeat("a", 5, 4), clock.now());
+    CHECK_FALSE(gate.isOpen());
+    CHECK(gate.record().isLeaving);
+}
+
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.restoredLeaveThatIsNotVerified.concernsNoOtherProcess")
+{
+    gate.restoreRecord({ "a", 7, "ordering", 9, BackendState::Gone, true, false }, clock.now());
+    gate.onHeartbeat(makeHeartbeat("b", 5, 1), clock.now());
+    CHECK(gate.isOpen());
+    gate.onHeartbeat(makeHeartbeat("a", 8, 1), clock.now());
+    CHECK(gate.isOpen());
+}
+
 TEST_CASE("BackendGate.randomMessages.neverOpenForAProcessThatLeft")
 {
     CHECK(rc::check([] {
         FakeClock clock;
-        BackendGate gate(3s);
+        BackendGate gate("ordering", 3s);
         std::set<uint64_t> leavingProcesses;
         const int steps = *rc::gen::inRange(1, 40);
         for (int i = 0; i < steps; ++i) {
--- a/tests/process/oddrecordstest.cpp
+++ b/tests/process/oddrecordstest.cpp
@@ -122,6 +122,28 @@
     CHECK_FALSE(isDecodableWith("/backend", Json::array()));
 }
 
+TEST_CASE("OddRecord.fieldThatOccursTwice.isUnreadable")
+{
+    // Guards against readers that take different values from the record of another writer.
+    const std::string text = VmRecordCodec::encode(sampleRecord());
+    for (const std::string field : { "\"daemon\":", "\"incarnation\":", "\"bornMs\":", "\"leaving\":" }) {
+        INFO(field);
+        std::string twice = text;
+        twice.insert(twice.find(field), field + "0,");
+        CHECK_FALSE(VmRecordCodec::decode(twice).has_value());
+    }
+}
+
+TEST_CASE("OddRecord.recordOfAnEarlierProgram.isNotVerified")
+{
+    CHECK(VmRecordCodec::decode(sampleJson().dump())->backend.isVerified);
+    Json json = sampleJson();
+    json["backend"].erase("verified");
+    REQUIRE(isDecodable(json));
+    CHECK_FALSE(VmRecordCodec::decode(json.dump())->backend.isVerified);
+    CHECK_FALSE(isDecodableWith("/backend/verified", 1));
+}
+
 TEST_CASE("OddRecord.deepNesting.isUnreadable")
 {
     // Guards against a stack overflow caused by deep nesting, in the parser, in the construction of an error or in a destructor.
--- a/tests/process/targetservicetest.cpp
+++ b/tests/process/targetservicetest.cpp
@@ -24,6 +24,7 @@
     {
         target.emplace(loop,
                        address,
+                       "ordering",
                        headers,
                        heartbeatTimeout,
                        crashes,
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -147,6 +147,29 @@
     CHECK(selectTarget(TargetScope::Anywhere, {}, true) == std::nullopt);
 }
 
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.leaveThatIsNotVerified.endsWithAVerifiedRecord")
+{
+    // Guards against a foreign leave that peers keep in force after the daemon of the VM has been upgraded.
+    VmRecord leaving = makeRecord("near", "pil-a", "pilbara", 2);
+    leaving.backend.isLeaving = true;
+    leaving.backend.state = BackendState::Gone;
+    const bool isVerified = GENERATE(true, false);
+    leaving.backend.isVerified = isVerified;
+    directory.merge(leaving);
+    directory.merge(makeRecord("near", "pil-a", "pilbara", 3));
+    CHECK(selectTarget(TargetScope::Region) == (isVerified ? "next" : "near"));
+}
+
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.leaveOfAnotherService.isNotKept")
+{
+    VmRecord leaving = makeRecord("near", "pil-a", "pilbara", 2);
+    leaving.backend.isLeaving = true;
+    leaving.backend.service = "unnamed";
+    directory.merge(leaving);
+    directory.merge(makeRecord("near", "pil-a", "pilbara", 3));
+    CHECK(selectTarget(TargetScope::Region) == "near");
+}
+
 TEST_CASE("VmDirectory.addressThatIsUsedAgain.namesTheVmsThatHadItBefore")
 {
     VmDirectory directory("self", { "pil-a", "pilbara" });
