Let a running daemon's word go before a foreign row of its VM

Callers would see: a daemon that reads the VM table while a row there stems from another writer sends that VM nothing, or sends to a wrong address, until its owner replaces the row, for up to 75 s.

Cause: records are merged by version only, wherever they come from. A foreign row with a later incarnation outranked all that the VM's own daemon reported.

Change: the directory keeps the source of a record. If a daemon reports an older version than the one that came from the store or a peer, its record is fetched from it and replaces the other one. A late report of an earlier process does no harm, since the present process answers.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -15,6 +15,7 @@
 #include "process/gossipmessage.h"
 #include "process/metrics.h"
 #include "process/ownrecord.h"
+#include "process/peerrecords.h"
 #include "process/peerstate.h"
 #include "process/reportsender.h"
 #include "process/routefollower.h"
@@ -58,8 +59,6 @@
     static constexpr Duration SecondReadDelay = std::chrono::seconds(2);
     /** Time without a report after which a VM that has no row in the VM table is removed from the directory. */
     static constexpr Duration MissingRowTimeout = std::chrono::seconds(10);
-    /** Delay before a record is fetched from a peer, because a later datagram usually delivers it. */
-    static constexpr Duration RecordFetchDelay = std::chrono::milliseconds(500);
     /** Interval at which a daemon with outdated routes retries to select a peer to fetch them from. */
     static constexpr Duration PeerSelectionRetryInterval = std::chrono::milliseconds(50);
     /** Age up to which a crash or its clearance is included in each report, because datagrams may be lost. */
@@ -82,6 +81,14 @@
         , m_routeFollower(loop, m_store, m_storeReachability, metrics)
         , m_peerClients(loop, bodyBudget)
         , m_ownRecord(loop, settings, directory, m_store, m_storeReachability, m_peerClients)
+        , m_peerRecords(loop,
+                        directory,
+                        m_peerClients,
+                        m_ownRecord.record().address,
+                        [this](const std::string &text) {
+                            applyPeerState(text);
+                            m_ownRecord.recover();
+                        })
         , m_reportSender(loop, directory, metrics)
     {
     }
@@ -227,7 +234,7 @@
             }
         }
         for (const VmRecord &record : expired) {
-            removeVm(record.daemon, record.incarnation, "no row in the VM table and no recent report of its daemon");
+            m_peerRecords.remove(record.daemon, record.incarnation, "no row in the VM table and no recent report of its daemon");
         }
         m_ownRecord.recover();
     }
@@ -255,51 +262,13 @@
         }
     }
 
-    void removeVm(const std::string &daemon, uint64_t incarnation, const char *reason)
-    {
-        const VmState *vm = m_directory.find(daemon);
-        const std::string address = vm == nullptr ? "" : vm->record.address;
-        if (m_directory.remove(daemon, incarnation)) {
-            m_peerClients.closeConnections(address);
-            EventLog::write(LogLevel::Info, Event::MemberRemoved, { { "daemon", daemon }, { "address", address }, { "reason", reason } });
-        }
-    }
-
-    /** Removes failed VMs whose address is now used by @p currentDaemon. Peers may still report records of the failed VMs. */
-    void removeVmsReplacedBy(const std::string &address, const std::string &currentDaemon)
-    {
-        for (const VmRecord &record : m_directory.findOthersByAddress(address, currentDaemon)) {
-            removeVm(record.daemon, record.incarnation, "its address is now used by another daemon");
-        }
-    }
-
     void applyVmRow(const VmRow &row)
     {
         if (m_directory.isSelf(row.record.daemon)) {
             m_ownRecord.onRowRead(row.record, row.version);
             return;
         }
-        applyVmRecord(row.record, "store");
-    }
-
-    /** Merges the record of another VM into the directory, and logs the change if the record is newer. */
-    void applyVmRecord(const VmRecord &record, const char *source)
-    {
-        if (record.address == m_ownRecord.record().address) {
-            return; // the record of a failed VM whose address now belongs to this VM
-        }
-        if (m_directory.merge(record)) {
-            EventLog::write(LogLevel::Info,
-                            Event::MemberChanged,
-                            { { "daemon", record.daemon },
-                              { "incarnation", std::to_string(record.incarnation) },
-                              { "revision", std::to_string(record.revision) },
-                              { "backend", record.backend.id },
-                              { "service", record.backend.service },
-                              { "state", std::string(nameOf(record.backend.state)) },
-                              { "stopping", record.stopping ? "yes" : "no" },
-                              { "source", source } });
-        }
+        m_peerRecords.apply(row.record, RecordSource::Store);
     }
 
     GossipMessage message(const TargetReport &load) const
@@ -327,10 +296,7 @@
             return;
         }
         const TimePoint now = SteadyClock().now();
-        if (message->record && message->record->daemon == message->daemon) {
-            applyVmRecord(*message->record, "datagram");
-        }
-        removeVmsReplacedBy(message->peerAddress, message->daemon);
+        m_peerRecords.onReport(*message);
         m_directory.onMessageReceived(message->daemon);
         m_directory.onLoadReport(message->daemon, message->report, now);
         for (const CrashReport &crash : message->crashes) {
@@ -342,9 +308,6 @@
         if (message->confirmationAge) {
             m_routeFollower.onPeerConfirmation(message->configVersion, *message->confirmationAge);
         }
-        if (lacksRecord(*message) && !std::exchange(m_isFetchingRecord, true)) {
-            spawnDetached(m_loop, "fetch-record", fetchRecord(*message), [this] { m_isFetchingRecord = false; });
-        }
         if (message->configVersion > m_routeFollower.version()) {
             const VmState *vm = m_directory.find(message->daemon);
             m_routeFetchScheduler.onNewerRoutesAdvertised(
@@ -355,29 +318,6 @@
         }
     }
 
-    /** @return whether the sender of @p message has a newer record of its VM than this daemon */
-    bool lacksRecord(const GossipMessage &message) const
-    {
-        const VmState *vm = m_directory.find(message.daemon);
-        return vm == nullptr || std::pair(vm->record.incarnation, vm->record.revision) < std::pair(message.incarnation, message.revision);
-    }
-
-    /**
-     * Fetches the record of a peer's VM from that peer. If the directory holds no other VM, the store has returned no records yet, so
-     * all records are fetched.
-     */
-    Task<void> fetchRecord(GossipMessage sender)
-    {
-        co_await sleepFor(m_loop, RecordFetchDelay);
-        if (lacksRecord(sender)) {
-            const StatePart part = m_directory.all().size() < 2 ? StatePart::All : StatePart::OwnRecord;
-            if (const auto state = co_await m_peerClients.fetchState(sender.peerAddress, part)) {
-                applyPeerState(*state);
-                m_ownRecord.recover();
-            }
-        }
-    }
-
     /** Fetches routes from peers as long as a peer has reported a newer version. */
     Task<void> fetchNewerRoutes()
     {
@@ -417,7 +357,7 @@
         if (m_directory.isSelf(record.daemon)) {
             m_ownRecord.reconcile(record);
         } else {
-            applyVmRecord(record, "peer");
+            m_peerRecords.apply(record, RecordSource::Peer);
         }
     }
 
@@ -431,9 +371,9 @@
     RouteFollower<Platform> m_routeFollower;
     PeerClients m_peerClients;
     OwnRecord<typename Platform::Dialect> m_ownRecord;
+    PeerRecords m_peerRecords;
     std::shared_ptr<DatagramPort> m_datagramPort;
     std::set<std::string> m_unreadableKeys; /**< Keys of the rows that could not be decoded at the last read of the VM table. */
-    bool m_isFetchingRecord = false;
     bool m_isFetchingRoutes = false;
     RouteFetchScheduler m_routeFetchScheduler;
     ReportSender m_reportSender;
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -57,15 +57,37 @@
     return result;
 }
 
-bool VmDirectory::merge(const VmRecord &record)
+bool VmDirectory::merge(const VmRecord &record, RecordSource source)
 {
     const auto [found, isNew] = m_vms.try_emplace(record.daemon);
-    VmState &vm = found->second;
-    if (!isNew && !record.isNewerThan(vm.record)) {
+    if (!isNew && !record.isNewerThan(found->second.record)) {
         return false;
     }
-    const bool hasRestarted = isNew || record.incarnation != vm.record.incarnation || record.backend.id != vm.record.backend.id;
+    assign(found->second, record, source);
+    return true;
+}
+
+void VmDirectory::confirm(const std::string &daemon)
+{
+    const auto found = m_vms.find(daemon);
+    if (found != m_vms.end()) {
+        found->second.source = RecordSource::Daemon;
+    }
+}
+
+void VmDirectory::replace(const VmRecord &record)
+{
+    const auto found = m_vms.find(record.daemon);
+    if (found != m_vms.end()) {
+        assign(found->second, record, RecordSource::Daemon);
+    }
+}
+
+void VmDirectory::assign(VmState &vm, const VmRecord &record, RecordSource source)
+{
+    const bool hasRestarted = record.incarnation != vm.record.incarnation || record.backend.id != vm.record.backend.id;
     vm.record = record;
+    vm.source = source;
     if (record.backend.isLeaving) {
         vm.leftBackend = record.backend;
     } else if (!record.backend.id.empty() && isSameProcess(record.backend, vm.leftBackend)) {
@@ -78,7 +100,6 @@
         vm.failureShare = 0;
         vm.sentSinceReport = 0;
     }
-    return true;
 }
 
 bool VmDirectory::remove(const std::string &daemon, uint64_t incarnation)
--- a/tests/platform/foreignwritertest.cpp
+++ b/tests/platform/foreignwritertest.cpp
@@ -208,3 +208,21 @@
     restartDaemon(vms[0]);
     CHECK(isServedWithin(limit));
 }
+
+TEST_CASE_METHOD(ForeignWriterFixture, "ForeignWriter.rowWrittenOverThatOfARunningDaemon.daemonsOwnRecordHolds")
+{
+    // Guards against a daemon that reads a foreign row of another VM at its start, and sends that VM nothing until the row is replaced.
+    REQUIRE(waitForLookups());
+    Json record = recordOfEarlierProgram(ForeignId, BackendStartedAtMs + LeadMs, UnnamedService);
+    record["incarnation"] = record["incarnation"].get<uint64_t>() + LeadMs;
+    SECTION("backend server of a service that no configuration names")
+    {
+    }
+    SECTION("another peer address")
+    {
+        record["address"] = "127.0.0.1:1";
+    }
+    store.put(VmTable, vms[1].name, record.dump());
+    restartDaemon(vms[0]);
+    CHECK(isServedWithin(5s));
+}
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -170,6 +170,17 @@
     CHECK(selectTarget(TargetScope::Region) == "near");
 }
 
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.recordOfTheOwnDaemon.replacesANewerOneFromTheStore")
+{
+    VmRecord foreign = makeRecord("near", "pil-a", "pilbara", 9);
+    foreign.backend.service = "unnamed";
+    CHECK(directory.merge(foreign, RecordSource::Store));
+    CHECK_FALSE(directory.merge(makeRecord("near", "pil-a", "pilbara", 3)));
+    directory.replace(makeRecord("near", "pil-a", "pilbara", 3));
+    CHECK(selectTarget(TargetScope::Region) == "near");
+    CHECK(directory.find("near")->source == RecordSource::Daemon);
+}
+
 TEST_CASE("VmDirectory.addressThatIsUsedAgain.namesTheVmsThatHadItBefore")
 {
     VmDirectory directory("self", { "pil-a", "pilbara" });
