Let a daemon's later reports go before a report in its name

Callers would see: after one datagram that names a VM's daemon, a late incarnation and a backend server of no known service, the receiving daemon sends that VM nothing more.

A record in a datagram counted as the daemon's own word.

Change: the directory keeps the version that a daemon has reported last. While it is older than the record held, wherever that came from, the record is fetched from the daemon and replaces the other one. A late datagram costs at most one such fetch.

--- a/include/carobjunction/process/vmdirectory.h
+++ b/include/carobjunction/process/vmdirectory.h
@@ -26,26 +26,10 @@
     SlotLimitStatistics slots; /**< Throughput of the target under its concurrency limits. Sent only with gossip messages. */
 };
 
-/** Where a record of a VM was received from. Only the VM's own daemon writes its record; the others may pass on that of another writer. */
-enum class RecordSource {
-    Daemon,
-    Store,
-    Peer,
-};
-
-template<>
-struct EnumNames<RecordSource> {
-    static constexpr std::pair<RecordSource, std::string_view> Table[] = {
-        { RecordSource::Daemon, "daemon" },
-        { RecordSource::Store, "store" },
-        { RecordSource::Peer, "peer" },
-    };
-};
-
 /** State of a VM as known to this daemon: its record, its last load report and the results of calls to it. */
 struct VmState {
     VmRecord record;
-    RecordSource source = RecordSource::Daemon; /**< Source of the record. */
+    std::optional<RecordVersion> reportedVersion; /**< Version of the record that the VM's own daemon has reported last; empty before its first report. */
     BackendRecord leftBackend; /**< Last backend server of this VM that has announced that it is leaving; without an id if there is none. */
     TargetReport report;
     TimePoint reportedAt; /**< Time at which the last load report was received. */
@@ -112,10 +96,13 @@
      * Stores a record of any daemon if it is newer than the current one. A backend server that has announced its leave stays leaving: its daemon may
      * have been restarted and have lost the leave. @return whether the record was stored
      */
-    bool merge(const VmRecord &record, RecordSource source = RecordSource::Daemon);
+    bool merge(const VmRecord &record);
+
+    /** Stores the version of its record that the daemon of a VM has reported. */
+    void onReportedVersion(const std::string &daemon, const RecordVersion &version);
 
-    /** Records that the VM's own daemon has reported the version of the record that the directory holds. */
-    void confirm(const std::string &daemon);
+    /** @return whether the daemon of the VM has last reported an older version than that of the record held: another writer may have sent the record */
+    bool isContradicted(const std::string &daemon) const;
 
     /** Replaces the record of a known VM by the one that its own daemon has returned, also if that is older: then another writer stored the newer one. */
     void replace(const VmRecord &record);
@@ -179,7 +166,7 @@
     }
 
 private:
-    static void assign(VmState &vm, const VmRecord &record, RecordSource source);
+    static void assign(VmState &vm, const VmRecord &record);
     bool isEligible(const VmState &vm, const TargetQuery &query, TimePoint now) const;
     static Duration expectedWait(const VmState &vm, const TargetQuery &query, TimePoint now);
     Duration predictedLatency(const VmState &vm, const TargetQuery &query, TimePoint now) const;
--- a/include/carobjunction/process/vmrecord.h
+++ b/include/carobjunction/process/vmrecord.h
@@ -2,6 +2,7 @@
 
 #include <carobjunction/process/enumnames.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -40,6 +41,14 @@
     bool operator==(const BackendRecord &) const = default;
 };
 
+/** Version of a VM's record. A later incarnation is newer, whatever the revisions are. */
+struct RecordVersion {
+    uint64_t incarnation = 0; /**< Increases with each start of the daemon. */
+    uint64_t revision = 0; /**< Increases with each change of the record within an incarnation. */
+
+    auto operator<=>(const RecordVersion &) const = default;
+};
+
 /** Record of a VM: its daemon and its backend server. Written only by that daemon. */
 struct VmRecord {
     std::string daemon; /**< Id of the daemon. */
@@ -51,10 +60,15 @@
     bool stopping = false; /**< The daemon is shutting down. */
     BackendRecord backend;
 
+    RecordVersion version() const
+    {
+        return { incarnation, revision };
+    }
+
     /** @return whether this record is newer than @p other of the same daemon */
     bool isNewerThan(const VmRecord &other) const
     {
-        return incarnation != other.incarnation ? incarnation > other.incarnation : revision > other.revision;
+        return version() > other.version();
     }
 };
 
--- a/src/process/peerrecords.cpp
+++ b/src/process/peerrecords.cpp
@@ -19,7 +19,7 @@
     if (record.address == m_ownAddress) {
         return; // the record of a failed VM whose address now belongs to this VM
     }
-    if (m_directory.merge(record, source)) {
+    if (m_directory.merge(record)) {
         logChange(record, source);
     }
 }
@@ -30,10 +30,8 @@
         apply(*message.record, RecordSource::Daemon);
     }
     removeVmsReplacedBy(message.peerAddress, message.daemon);
-    if (compareVersions(message) == std::strong_ordering::equal) {
-        m_directory.confirm(message.daemon);
-    }
-    const bool mustFetch = lacksRecord(message) || isContradicted(message);
+    m_directory.onReportedVersion(message.daemon, { message.incarnation, message.revision });
+    const bool mustFetch = lacksRecord(message) || m_directory.isContradicted(message.daemon);
     if (mustFetch && !std::exchange(m_isFetching, true)) {
         spawnDetached(m_loop, "fetch-record", fetch(message), [this] { m_isFetching = false; });
     }
@@ -57,27 +55,11 @@
     }
 }
 
-/** Compares the version of this daemon's record of the VM of @p message, which is the lowest if there is none, with that of the sender. */
-std::strong_ordering PeerRecords::compareVersions(const GossipMessage &message) const
-{
-    const VmState *vm = m_directory.find(message.daemon);
-    if (vm == nullptr) {
-        return std::strong_ordering::less;
-    }
-    return std::pair(vm->record.incarnation, vm->record.revision) <=> std::pair(message.incarnation, message.revision);
-}
-
 /** @return whether the sender of @p message has a newer record of its VM than this daemon */
 bool PeerRecords::lacksRecord(const GossipMessage &message) const
-{
-    return compareVersions(message) == std::strong_ordering::less;
-}
-
-/** @return whether the sender of @p message has an older record of its VM than the one that this daemon received from elsewhere */
-bool PeerRecords::isContradicted(const GossipMessage &message) const
 {
     const VmState *vm = m_directory.find(message.daemon);
-    return vm != nullptr && vm->source != RecordSource::Daemon && compareVersions(message) == std::strong_ordering::greater;
+    return vm == nullptr || vm->record.version() < RecordVersion { message.incarnation, message.revision };
 }
 
 /**
@@ -87,7 +69,7 @@
 Task<void> PeerRecords::fetch(GossipMessage sender)
 {
     co_await sleepFor(m_loop, FetchDelay);
-    if (!lacksRecord(sender) && !isContradicted(sender)) {
+    if (!lacksRecord(sender) && !m_directory.isContradicted(sender.daemon)) {
         co_return;
     }
     const StatePart part = m_directory.all().size() < 2 ? StatePart::All : StatePart::OwnRecord;
@@ -99,17 +81,21 @@
     m_stateHandler(*state);
 }
 
-/** Replaces the record of @p daemon by the one in the state that this daemon has returned, if the present one came from elsewhere. */
+/** Replaces the record of @p daemon by the older one in the state that this daemon has returned. */
 void PeerRecords::replaceContradicted(const std::string &daemon, const std::string &text)
 {
     std::string ignoredError; // the state handler reports an unreadable state
     const auto state = PeerState::decode(text, &ignoredError);
     const VmState *vm = m_directory.find(daemon);
-    if (!state || vm == nullptr || vm->source == RecordSource::Daemon) {
+    if (!state || vm == nullptr) {
         return;
     }
     for (const VmRecord &record : state->records) {
-        if (record.daemon == daemon && vm->record.isNewerThan(record)) {
+        if (record.daemon != daemon) {
+            continue;
+        }
+        m_directory.onReportedVersion(daemon, record.version());
+        if (m_directory.isContradicted(daemon)) {
             m_directory.replace(record);
             logChange(record, RecordSource::Daemon);
         }
--- a/src/process/peerrecords.h
+++ b/src/process/peerrecords.h
@@ -6,7 +6,6 @@
 #include "process/gossipmessage.h"
 #include "process/peerstate.h"
 
-#include <compare>
 #include <functional>
 #include <optional>
 #include <string>
@@ -14,10 +13,26 @@
 namespace carobjunction
 {
 
+/** Where a record of a VM was received from. Only the VM's own daemon writes its record; the others may pass on that of another writer. */
+enum class RecordSource {
+    Daemon,
+    Store,
+    Peer,
+};
+
+template<>
+struct EnumNames<RecordSource> {
+    static constexpr std::pair<RecordSource, std::string_view> Table[] = {
+        { RecordSource::Daemon, "daemon" },
+        { RecordSource::Store, "store" },
+        { RecordSource::Peer, "peer" },
+    };
+};
+
 /**
  * Keeps the records of the other VMs in the directory. Records arrive from the store, from peers and from the VMs' own daemons in any order; the newest one
- * applies. A record from the store or a peer may stem from another writer. If the VM's own daemon reports that it has an older one, the record is
- * fetched from that daemon, and its word applies. Used on one event loop.
+ * applies. It may stem from another writer: if the VM's own daemon goes on reporting an older one, the record is fetched from that daemon, and its word
+ * applies. Used on one event loop.
  */
 class PeerRecords
 {
@@ -45,9 +60,7 @@
 
 private:
     void removeVmsReplacedBy(const std::string &address, const std::string &currentDaemon);
-    std::strong_ordering compareVersions(const GossipMessage &message) const;
     bool lacksRecord(const GossipMessage &message) const;
-    bool isContradicted(const GossipMessage &message) const;
     Task<void> fetch(GossipMessage sender);
     void replaceContradicted(const std::string &daemon, const std::string &text);
     static void logChange(const VmRecord &record, RecordSource source);
--- a/src/process/vmdirectory.cpp
+++ b/src/process/vmdirectory.cpp
@@ -57,37 +57,42 @@
     return result;
 }
 
-bool VmDirectory::merge(const VmRecord &record, RecordSource source)
+bool VmDirectory::merge(const VmRecord &record)
 {
     const auto [found, isNew] = m_vms.try_emplace(record.daemon);
     if (!isNew && !record.isNewerThan(found->second.record)) {
         return false;
     }
-    assign(found->second, record, source);
+    assign(found->second, record);
     return true;
 }
 
-void VmDirectory::confirm(const std::string &daemon)
+void VmDirectory::onReportedVersion(const std::string &daemon, const RecordVersion &version)
 {
     const auto found = m_vms.find(daemon);
     if (found != m_vms.end()) {
-        found->second.source = RecordSource::Daemon;
+        found->second.reportedVersion = version;
     }
 }
 
+bool VmDirectory::isContradicted(const std::string &daemon) const
+{
+    const VmState *vm = find(daemon);
+    return vm != nullptr && vm->reportedVersion && *vm->reportedVersion < vm->record.version();
+}
+
 void VmDirectory::replace(const VmRecord &record)
 {
     const auto found = m_vms.find(record.daemon);
     if (found != m_vms.end()) {
-        assign(found->second, record, RecordSource::Daemon);
+        assign(found->second, record);
     }
 }
 
-void VmDirectory::assign(VmState &vm, const VmRecord &record, RecordSource source)
+void VmDirectory::assign(VmState &vm, const VmRecord &record)
 {
     const bool hasRestarted = record.incarnation != vm.record.incarnation || record.backend.id != vm.record.backend.id;
     vm.record = record;
-    vm.source = source;
     if (record.backend.isLeaving) {
         vm.leftBackend = record.backend;
     } else if (!record.backend.id.empty() && isSameProcess(record.backend, vm.leftBackend)) {
--- a/tests/platform/foreignwritertest.cpp
+++ b/tests/platform/foreignwritertest.cpp
@@ -1,5 +1,6 @@
 #include "platform/platformdaemonfixture.h"
 
+#include "process/gossipmessage.h"
 #include "process/vmrecordcodec.h"
 
 using namespace carobjunction;
@@ -226,3 +227,21 @@
     restartDaemon(vms[0]);
     CHECK(isServedWithin(5s));
 }
+
+TEST_CASE_METHOD(ForeignWriterFixture, "ForeignWriter.reportInTheNameOfAnotherDaemon.daemonsOwnRecordHolds")
+{
+    // Guards against one datagram with a late incarnation that outranks all later reports of the daemon itself.
+    REQUIRE(waitForLookups());
+    GossipMessage message;
+    message.record = VmRecordCodec::decode(recordOfEarlierProgram(ForeignId, BackendStartedAtMs + LeadMs, UnnamedService).dump());
+    message.record->incarnation += LeadMs;
+    message.daemon = vms[1].name;
+    message.incarnation = message.record->incarnation;
+    message.revision = message.record->revision;
+    message.peerAddress = vms[1].peer;
+    const auto peer = parseEndpoint(vms[0].peer).value();
+    Udp::socket socket(loop, Udp::v4());
+    socket.send_to(asio::buffer(message.encode()), Udp::endpoint(peer.address(), peer.port()));
+    REQUIRE(waitFor([this] { return lookup() == 503; }));
+    CHECK(isServedWithin(5s));
+}
--- a/tests/process/vmdirectorytest.cpp
+++ b/tests/process/vmdirectorytest.cpp
@@ -170,15 +170,18 @@
     CHECK(selectTarget(TargetScope::Region) == "near");
 }
 
-TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.recordOfTheOwnDaemon.replacesANewerOneFromTheStore")
+TEST_CASE_METHOD(VmDirectoryFixture, "VmDirectory.recordThatItsDaemonContradicts.isReplaced")
 {
     VmRecord foreign = makeRecord("near", "pil-a", "pilbara", 9);
     foreign.backend.service = "unnamed";
-    CHECK(directory.merge(foreign, RecordSource::Store));
+    CHECK(directory.merge(foreign));
+    CHECK_FALSE(directory.isContradicted("near")); // no report yet
+    directory.onReportedVersion("near", { 1, 3 });
+    CHECK(directory.isContradicted("near"));
     CHECK_FALSE(directory.merge(makeRecord("near", "pil-a", "pilbara", 3)));
     directory.replace(makeRecord("near", "pil-a", "pilbara", 3));
     CHECK(selectTarget(TargetScope::Region) == "near");
-    CHECK(directory.find("near")->source == RecordSource::Daemon);
+    CHECK_FALSE(directory.isContradicted("near"));
 }
 
 TEST_CASE("VmDirectory.addressThatIsUsedAgain.namesTheVmsThatHadItBefore")
