carobjunctiond: believe only the announced process of its service

Callers would see: a sound server that gets no more requests after an announcement or a leave of another writer; or requests to a silent server that late announcements of its earlier process keep in use.

Cause: the body of a leave was never read, so any body stopped the daemon. Of an announcement, fields that occur twice, an incarnation that no later process can outrank and another address of the same process were accepted; one of an earlier process was ignored but renewed the time limit of the announcements.

Change: AnnouncedBackend decides whether a message is from the announced process or a later one. Announcements and leaves with a body need all fields, each once and in range (400), and that process (409 with the reason, logged). A leave without a body is the operator's command, as before.

--- a/src/connection/operatorserver.cpp
+++ b/src/connection/operatorserver.cpp
@@ -1,6 +1,8 @@
 #include "connection/operatorserver.h"
 
+#include "connection/boundedjson.h"
 #include "connection/socketaddress.h"
+#include "process/eventlog.h"
 #include "process/metrics.h"
 #include "request/decisionlog.h"
 
@@ -17,7 +19,10 @@
 
 constexpr uint32_t ThreadCount = 16;
 constexpr uint64_t MaxBodyBytes = 64U << 10U;
+constexpr uint64_t MaxSlots = 100'000;
+constexpr JsonLimits AnnouncementLimits { MaxBodyBytes, 32, true };
 constexpr char JsonContentType[] = "application/json";
+constexpr char InvalidAnnouncementText[] = "expected an object with service, address (ip:port), slots and incarnation (above 0), each once";
 
 void writeError(httplib::Response &response, int status, const std::string &reason)
 {
@@ -25,22 +30,29 @@
     response.set_content(nlohmann::json { { "error", reason } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n", JsonContentType);
 }
 
-std::optional<TargetAnnouncement> parseAnnouncement(const std::string &body)
+TargetAnnouncement readAnnouncement(const nlohmann::json &json)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object()) {
-        return std::nullopt;
-    }
-    const auto service = json.find("service");
-    const auto address = json.find("address");
-    const auto slots = json.find("slots");
-    const auto incarnation = json.find("incarnation");
-    const bool isComplete = service != json.end() && service->is_string() && address != json.end() && address->is_string() && slots != json.end()
-        && slots->is_number_unsigned() && incarnation != json.end() && incarnation->is_number_unsigned();
-    if (!isComplete || !SocketAddress::parse(address->get<std::string>()) || slots->get<uint64_t>() > 100'000 || incarnation->get<uint64_t>() == 0) {
-        return std::nullopt;
+    TargetAnnouncement announcement;
+    announcement.service = boundedjson::name(json.at("service"));
+    announcement.address = boundedjson::name(json.at("address"));
+    announcement.slots = static_cast<uint32_t>(boundedjson::unsignedInteger(json.at("slots"), MaxSlots));
+    announcement.incarnation = boundedjson::unsignedInteger(json.at("incarnation"), boundedjson::MaxExactInteger);
+    if (announcement.incarnation == 0 || !SocketAddress::parse(announcement.address)) {
+        throw MessageParseError("incarnation 0, or an address that is not ip:port");
     }
-    return TargetAnnouncement { service->get<std::string>(), address->get<std::string>(), slots->get<uint32_t>(), incarnation->get<uint64_t>() };
+    return announcement;
+}
+
+std::optional<TargetAnnouncement> parseAnnouncement(const std::string &body)
+{
+    return boundedjson::decode([&body] { return readAnnouncement(boundedjson::parse(body, AnnouncementLimits)); });
+}
+
+void rejectAnnouncement(httplib::Response &response, AnnouncementVerdict verdict)
+{
+    const std::string reason(nameOf(verdict));
+    EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "port", "operator" }, { "reason", reason } });
+    writeError(response, 409, reason);
 }
 
 std::optional<uint64_t> parseHexadecimal(const std::string &text)
@@ -79,17 +91,27 @@
     server.Post("/v1/target/announce", [this](const httplib::Request &request, httplib::Response &response) {
         const std::optional<TargetAnnouncement> announcement = parseAnnouncement(request.body);
         if (!announcement) {
-            writeError(response, 400, "expected an object with service, address (ip:port), slots and incarnation (above 0)");
+            writeError(response, 400, InvalidAnnouncementText);
             return;
         }
-        if (!m_actions.announce(*announcement)) {
-            writeError(response, 409, "the settings of this daemon name another service");
+        const AnnouncementVerdict verdict = m_actions.announce(*announcement);
+        if (verdict != AnnouncementVerdict::Accepted) {
+            rejectAnnouncement(response, verdict);
             return;
         }
         response.set_content("{\"accepted\":true}\n", JsonContentType);
     });
-    server.Post("/v1/target/leave", [this](const httplib::Request &, httplib::Response &response) {
-        m_actions.leave();
+    server.Post("/v1/target/leave", [this](const httplib::Request &request, httplib::Response &response) {
+        const std::optional<TargetAnnouncement> announcement = parseAnnouncement(request.body);
+        if (!request.body.empty() && !announcement) {
+            writeError(response, 400, InvalidAnnouncementText);
+            return;
+        }
+        const AnnouncementVerdict verdict = m_actions.leave(announcement ? &*announcement : nullptr);
+        if (verdict != AnnouncementVerdict::Accepted) {
+            rejectAnnouncement(response, verdict);
+            return;
+        }
         response.set_content("{\"leaving\":true}\n", JsonContentType);
     });
 }
--- a/src/connection/operatorserver.h
+++ b/src/connection/operatorserver.h
@@ -5,6 +5,8 @@
 #include <carobjunction/process/clock.h>
 #include <carobjunction/process/suspecttable.h>
 
+#include "process/announcedbackend.h"
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -21,21 +23,13 @@
 class ConfigTable;
 class DecisionLog;
 class Metrics;
-struct SocketAddress;
-
-/** Registration data of a backend server. */
-struct TargetAnnouncement {
-    std::string service;
-    std::string address;
-    uint32_t slots = 0;
-    uint64_t incarnation = 0;
-};
 
 /** Operations of the daemon that are available on the operator port. */
 struct OperatorActions {
     std::function<bool()> isReady;
-    std::function<bool(const TargetAnnouncement &)> announce; /**< Returns false if the settings configure another service. */
-    std::function<void()> leave;
+    std::function<AnnouncementVerdict(const TargetAnnouncement &)> announce;
+    /** Null for the operator's command; otherwise what the backend server says of itself. */
+    std::function<AnnouncementVerdict(const TargetAnnouncement *)> leave;
     std::function<std::string(const std::string &service, bool withMembers)> inForce; /**< Returns the configuration versions in force, as JSON. */
     std::function<std::string(const std::string &service)> targets; /**< Returns the known targets, as JSON. */
     std::function<std::string()> suspects; /**< Returns the suspected and condemned requests, as JSON. */
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -75,6 +75,7 @@
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
     , m_credentials(m_settings.peerSecurity, m_settings.tls)
+    , m_announcedBackend(m_settings.service)
     , m_suspects(m_clock)
     , m_targets(m_clock, m_settings.daemon, m_settings.region, m_settings.dataCentre, std::random_device {}())
     , m_configs(parseConfig)
@@ -350,23 +351,23 @@
     m_workers.reset();
 }
 
-bool Daemon::announce(const TargetAnnouncement &announcement)
+AnnouncementVerdict Daemon::announce(const TargetAnnouncement &announcement)
 {
-    const std::optional<SocketAddress> address = SocketAddress::parse(announcement.address);
-    if (announcement.service != m_settings.service || !address) {
-        return false;
+    const AnnouncementVerdict verdict = m_announcedBackend.onAnnouncement(announcement);
+    if (verdict != AnnouncementVerdict::Accepted) {
+        return verdict;
     }
     m_lastAnnouncementAt = m_clock.now();
-    m_admission->announce(announcement.service, *address, announcement.incarnation);
+    m_admission->announce(announcement.service, SocketAddress::parse(announcement.address).value(), announcement.incarnation);
     m_gossip->updateOwn([&](Member &own) {
         if (announcement.incarnation < own.targetIncarnation) {
-            return;
+            return; // a later announcement was accepted in the meantime
         }
         own.targetAddress = announcement.address;
         own.slots = announcement.slots;
         own.targetIncarnation = announcement.incarnation;
     });
-    return true;
+    return verdict;
 }
 
 void Daemon::leave()
--- a/src/process/daemon.h
+++ b/src/process/daemon.h
@@ -12,6 +12,7 @@
 #include "connection/peerserver.h"
 #include "connection/tlscredentials.h"
 #include "process/admissionservice.h"
+#include "process/announcedbackend.h"
 #include "process/claims.h"
 #include "process/configpoller.h"
 #include "process/entryservice.h"
@@ -77,8 +78,8 @@
     bool openPorts();
     void startTasks();
 
-    /** Applies an announcement of the backend server. @return false if its service or address is not valid */
-    bool announce(const TargetAnnouncement &announcement);
+    /** Applies an announcement of the backend server if it is accepted. */
+    AnnouncementVerdict announce(const TargetAnnouncement &announcement);
     /** Stops admission and advertises that the target is leaving. */
     void leave();
     /** Recomputes the targets of a service from the membership view. */
@@ -112,6 +113,7 @@
     Metrics m_metrics;
     DecisionLog m_decisionLog;
     TlsCredentials m_credentials;
+    AnnouncedBackend m_announcedBackend;
     SuspectTable<SteadyClock> m_suspects;
     TargetTable<SteadyClock> m_targets;
     ConfigTable m_configs;
--- a/src/process/daemonreports.cpp
+++ b/src/process/daemonreports.cpp
@@ -66,8 +66,12 @@
     actions.announce = [this](const TargetAnnouncement &announcement) {
         return announce(announcement);
     };
-    actions.leave = [this] {
-        leave();
+    actions.leave = [this](const TargetAnnouncement *announcement) {
+        const AnnouncementVerdict verdict = announcement == nullptr ? AnnouncementVerdict::Accepted : m_announcedBackend.checkLeave(*announcement);
+        if (verdict == AnnouncementVerdict::Accepted) {
+            leave();
+        }
+        return verdict;
     };
     actions.inForce = [this](const std::string &service, bool withMembers) {
         return inForceJson(service, withMembers);
