Part the calls of the backend server from VmDaemon

Cause: VmDaemon (473 lines) had grown again, and what decides whether a message about the backend server is believed stood among ports and timers. Change: BackendControl answers heartbeats and leaves; VmDaemon has 396 lines.

--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -11,7 +11,7 @@
 #include "connection/httplistener.h"
 #include "connection/messagefields.h"
 #include "connection/peercodec.h"
-#include "connection/sleepfor.h"
+#include "process/backendcontrol.h"
 #include "process/clustersync.h"
 #include "process/suspensionmeter.h"
 #include "process/targetservice.h"
@@ -61,10 +61,6 @@
     static constexpr double BodyMemoryShare = 0.65;
     /** Minimum time between closing the ports and ending the process, to answer requests that arrived during the close. */
     static constexpr Duration MinCloseDuration = std::chrono::milliseconds(100);
-    /** Maximum time that the response to a leave waits until the leave outlives a restart of this daemon. Callers wait for a second. */
-    static constexpr Duration LeaveKeepTimeout = std::chrono::milliseconds(850);
-    /** Interval at which a leave is checked that arrives before the record from before a restart is recovered. */
-    static constexpr Duration LeavePollInterval = std::chrono::milliseconds(10);
     /** Number of copies of a caller's body that the entry daemon holds: one for a retry, and one being sent to a target. */
     static constexpr uint64_t CallerBodyCopies = 2;
     /**
@@ -94,6 +90,7 @@
                                      } },
                    m_bodyBudget)
         , m_sync(loop, m_settings, m_directory, m_crashHistory, m_metrics, m_bodyBudget)
+        , m_backendControl(loop, m_settings, m_target, m_sync.ownRecord())
         , m_router(RouterEnvironment { [this] { return m_sync.routes(); },
                                        [this](std::string daemon, ForwardRequest request, CancellationPtr cancellation) {
                                            return forward(std::move(daemon), std::move(request), std::move(cancellation));
@@ -272,83 +269,7 @@
             metricsResponse.body() = m_metrics.toPrometheus();
             co_return metricsResponse;
         }
-        const auto call = Platform::decodeControlCall(message);
-        if (!call) {
-            co_return textResponse(http::status::not_found, "unknown call");
-        }
-        HttpResponse response(http::status::ok, 11);
-        response.set(http::field::content_type, "application/json");
-        response.body() = "{}";
-        std::visit([&](const auto &decodedCall) { onControlCall(decodedCall, response); }, *call);
-        const std::string leavingId = std::visit([](const auto &decodedCall) { return leavingBackend(decodedCall); }, *call);
-        if (response.result() == http::status::ok && !leavingId.empty() && !co_await waitUntilLeaveKept(leavingId)) {
-            EventLog::write(LogLevel::Warning, Event::LeaveNotKept, { { "backend", leavingId } });
-            response.result(http::status::service_unavailable);
-        }
-        response.prepare_payload();
-        co_return response;
-    }
-
-    /** @return id of the backend server that announces in @p call that it is leaving, empty for another call */
-    template<typename Call>
-    static std::string leavingBackend(const Call &call)
-    {
-        if constexpr (requires { call.draining; }) {
-            return call.draining ? call.id : "";
-        } else if constexpr (requires { call.reason; }) {
-            return "";
-        } else {
-            return call.id;
-        }
-    }
-
-    /**
-     * Waits until the leave of a backend server outlives a restart of this daemon. Its acknowledgement is a promise that binds also the next process.
-     * @return whether it does; true if another backend server has taken its place
-     */
-    Task<bool> waitUntilLeaveKept(std::string id)
-    {
-        const TimePoint end = SteadyClock().now() + LeaveKeepTimeout;
-        while (m_target.record().id.empty() && SteadyClock().now() < end) {
-            co_await sleepFor(m_loop, LeavePollInterval);
-        }
-        const BackendRecord &record = m_target.record();
-        if (record.id != id || !record.isLeaving) {
-            co_return !record.id.empty();
-        }
-        co_return co_await m_sync.ownRecord().waitUntilKept(end - SteadyClock().now());
-    }
-
-    void onControlCall(const Heartbeat &heartbeat, HttpResponse &response)
-    {
-        if (heartbeat.address != m_settings.backendAddress) {
-            rejectControlCall("heartbeat of a backend server at an unexpected address: " + heartbeat.address, response);
-            return;
-        }
-        const HeartbeatResult result = m_target.onHeartbeat(heartbeat);
-        if (result == HeartbeatResult::Foreign) {
-            rejectControlCall("heartbeat of a backend server of an unexpected service: " + heartbeat.service, response);
-        } else if (result == HeartbeatResult::Stale) {
-            EventLog::write(LogLevel::Info,
-                            Event::TargetAnnounced,
-                            { { "backend", heartbeat.id }, { "ignored", "the heartbeat is stale, or its process has already left" } });
-        }
-    }
-
-    template<typename Leave>
-    void onControlCall(const Leave &call, HttpResponse &response)
-    {
-        if constexpr (requires { call.reason; }) {
-            rejectControlCall(call.reason, response);
-        } else {
-            m_target.onLeave(call.id);
-        }
-    }
-
-    void rejectControlCall(const std::string &reason, HttpResponse &response)
-    {
-        EventLog::write(LogLevel::Warning, Event::RequestRejected, { { "port", "operator" }, { "reason", reason } });
-        response.result(http::status::bad_request);
+        co_return co_await m_backendControl.handle(std::move(message));
     }
 
     Task<ForwardResult> forward(std::string daemon, ForwardRequest request, CancellationPtr cancellation)
@@ -458,6 +379,7 @@
     std::shared_ptr<BodyBudget> m_bodyBudget; /**< Memory budget for the bodies that the process holds. */
     TargetService m_target;
     ClusterSync<Platform> m_sync;
+    BackendControl<Platform> m_backendControl;
     RequestRouter m_router;
     asio::steady_timer m_tickTimer;
     uint32_t m_tickCount = 0;
