Let unverified leaves end a fixed time after the start of the daemon

Change: such a leave applies until 10 s after the daemon's start; later ones are ignored. The new test was not run on the code before, which has no such parameter.

--- a/include/carobjunction/process/backendgate.h
+++ b/include/carobjunction/process/backendgate.h
@@ -48,8 +48,10 @@
     /**
      * @param service  service of this VM's backend server, from the settings
      * @param heartbeatTimeout  time without a heartbeat after which the backend server is considered down until the next heartbeat
+     * @param daemonStartedAt  time at which this daemon has started
      */
-    BackendGate(std::string service, Duration heartbeatTimeout) : m_service(std::move(service)), m_heartbeatTimeout(heartbeatTimeout)
+    BackendGate(std::string service, Duration heartbeatTimeout, TimePoint daemonStartedAt)
+        : m_service(std::move(service)), m_heartbeatTimeout(heartbeatTimeout), m_holdBackUntil(daemonStartedAt + UnverifiedLeaveRetention)
     {
     }
 
@@ -60,8 +62,8 @@
     static constexpr Duration LeaveNoticeRetention = std::chrono::seconds(30);
 
     /**
-     * Time for which a restored leave applies that is not verified: it may stem from another writer, but also from the backend server, which serves
-     * on for some seconds after its leave. Shorter than the time in which a restarted system must serve again.
+     * Time after the start of the daemon up to which a restored leave applies that is not verified: it may stem from another writer, but also from the
+     * backend server, which serves on for some seconds after its leave. Shorter than the time in which a restarted system must serve again.
      */
     static constexpr Duration UnverifiedLeaveRetention = std::chrono::seconds(10);
 
@@ -77,7 +79,7 @@
     /**
      * Restores the leaving state of the backend server after a restart of the daemon. A record that is not leaving does not open the gate, but a
      * leave notice of its process, which may have been received before or may follow, applies to it. A leave that is not verified closes the gate
-     * only to the process that it names, for UnverifiedLeaveRetention.
+     * only to the process that it names, until UnverifiedLeaveRetention after the start of the daemon.
      * @param persisted  record of the backend server from before the restart
      * @return whether the record changed
      */
@@ -116,27 +118,20 @@
         uint64_t unixTimeMs = 0; /**< Processes that started after this time are not affected by the notice. */
     };
 
-    /** Leave from before a restart of the daemon that may stem from another writer. */
-    struct UnverifiedLeave {
-        std::string id;
-        uint64_t startedAtMs = 0; /**< Later processes are not affected. */
-        TimePoint restoredAt;
-    };
-
     bool isStale(const Heartbeat &heartbeat) const;
     bool isHeldBack(const std::string &id, uint64_t startedAtMs, TimePoint now) const;
-    bool holdBack(const BackendRecord &persisted, TimePoint now);
     bool hasLeft(const std::string &id, uint64_t startedAtMs, TimePoint now) const;
     void recordLeave(const std::string &id, TimePoint now, uint64_t unixTimeMs);
 
     std::string m_service;
     Duration m_heartbeatTimeout;
+    TimePoint m_holdBackUntil; /**< Time up to which m_unverifiedRecord applies. */
     BackendRecord m_record;
     BackendRecord m_formerRecord; /**< Record from before a restart of the daemon, until a heartbeat is received. */
     uint64_t m_lastSequence = 0;
     bool m_isLeaving = false;
     std::map<std::string, LeaveNotice> m_leaveNotices; /**< By id of the backend server. */
-    std::optional<UnverifiedLeave> m_unverifiedLeave;
+    std::optional<BackendRecord> m_unverifiedRecord; /**< Leaving record from before a restart that may stem from another writer. */
     TimePoint m_lastHeartbeatAt;
     TimePoint m_coldUntil;
 };
--- a/src/process/backendgate.cpp
+++ b/src/process/backendgate.cpp
@@ -25,21 +25,10 @@
     m_leaveNotices[id] = { now, unixTimeMs };
 }
 
+/** @return whether the process may be that of a leave that is not verified */
 bool BackendGate::isHeldBack(const std::string &id, uint64_t startedAtMs, TimePoint now) const
 {
-    return m_unverifiedLeave && m_unverifiedLeave->id == id && startedAtMs <= m_unverifiedLeave->startedAtMs
-        && now - m_unverifiedLeave->restoredAt < UnverifiedLeaveRetention;
-}
-
-/** Closes the gate to the process of a leave that is not verified. @return whether the record changed */
-bool BackendGate::holdBack(const BackendRecord &persisted, TimePoint now)
-{
-    const bool isKnown = m_unverifiedLeave && m_unverifiedLeave->id == persisted.id && m_unverifiedLeave->startedAtMs == persisted.startedAtMs;
-    if (!isKnown) {
-        m_unverifiedLeave = { persisted.id, persisted.startedAtMs, now };
-    }
-    m_formerRecord = persisted;
-    return isHeldBack(m_record.id, m_record.startedAtMs, now) && markGone();
+    return m_unverifiedRecord && m_unverifiedRecord->id == id && startedAtMs <= m_unverifiedRecord->startedAtMs && now < m_holdBackUntil;
 }
 
 HeartbeatResult BackendGate::onHeartbeat(const Heartbeat &heartbeat, TimePoint now)
@@ -93,7 +82,9 @@
         return false;
     }
     if (persisted.isLeaving && !persisted.isVerified) {
-        return holdBack(persisted, now);
+        m_unverifiedRecord = persisted;
+        m_formerRecord = persisted;
+        return isHeldBack(m_record.id, m_record.startedAtMs, now) && markGone();
     }
     const bool isLeaving = persisted.isLeaving || hasLeft(persisted.id, persisted.startedAtMs, now);
     if (!isLeaving) {
--- a/src/process/targetservice.cpp
+++ b/src/process/targetservice.cpp
@@ -68,7 +68,7 @@
     , m_crashHistory(crashHistory)
     , m_routeServiceTimes(routeServiceTimes)
     , m_callbacks(std::move(callbacks))
-    , m_gate(service, heartbeatTimeout)
+    , m_gate(service, heartbeatTimeout, SteadyClock().now())
     , m_restoreDeadline(SteadyClock().now() + RestoreTimeout)
     , m_probe(
           loop,
--- a/tests/process/backendgatetest.cpp
+++ b/tests/process/backendgatetest.cpp
@@ -32,7 +32,7 @@
     }
 
     FakeClock clock;
-    BackendGate gate { "ordering", 3s };
+    BackendGate gate { "ordering", 3s, clock.now() };
 };
 
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.noHeartbeatYet.isClosed")
@@ -237,6 +237,16 @@
     CHECK(gate.record().isLeaving);
 }
 
+TEST_CASE_METHOD(BackendGateFixture, "BackendGate.leaveThatIsNotVerified.isIgnoredLongAfterTheStart")
+{
+    // Guards against a server that stops being used for a time, because another writer replaced the stored record while the daemon ran.
+    clock.advance(BackendGate::UnverifiedLeaveRetention);
+    gate.onHeartbeat(makeHeartbeat("a", 5, 1), clock.now());
+    CHECK_FALSE(gate.restoreRecord({ "a", 5, "ordering", 9, BackendState::Gone, true, false }, clock.now()));
+    gate.onHeartbeat(makeHeartbeat("a", 5, 2), clock.now());
+    CHECK(gate.isOpen());
+}
+
 TEST_CASE_METHOD(BackendGateFixture, "BackendGate.restoredLeaveThatIsNotVerified.concernsNoOtherProcess")
 {
     gate.restoreRecord({ "a", 7, "ordering", 9, BackendState::Gone, true, false }, clock.now());
@@ -250,7 +260,7 @@
 {
     CHECK(rc::check([] {
         FakeClock clock;
-        BackendGate gate("ordering", 3s);
+        BackendGate gate("ordering", 3s, clock.now());
         std::set<uint64_t> leavingProcesses;
         const int steps = *rc::gen::inRange(1, 40);
         for (int i = 0; i < steps; ++i) {
