Send heartbeats of another writer throughout the soak

Change: beside all other faults each soak sends heartbeats with one defect, in the name of the server or of another one. The list of defects is shared with ForeignWriter.

--- a/tests/platform/foreignwritertest.cpp
+++ b/tests/platform/foreignwritertest.cpp
@@ -1,3 +1,4 @@
+#include "platform/foreignheartbeats.h"
 #include "platform/platformdaemonfixture.h"
 
 #include "process/gossipmessage.h"
@@ -13,64 +14,9 @@
 
 constexpr const char *VmTable = "carobjunction-vms";
 constexpr const char *ForeignId = "i-other";
-constexpr const char *UnnamedService = "unnamed";
 constexpr int64_t LeadMs = 3'600'000; // the foreign start time is an hour after the real one
 constexpr uint64_t LateSequence = 1'000'000;
 
-/** Heartbeat of another writer: its body has one defect. */
-struct ForeignHeartbeat {
-    std::string defect;
-    std::string body;
-};
-
-/** @return a value of another type than @p value */
-Json ofAnotherType(const Json &value)
-{
-    return value.is_string() ? Json(7) : value.is_object() ? Json::array() : Json("7");
-}
-
-/** @return @p text with an earlier second occurrence of the field @p name */
-std::string withFieldTwice(std::string text, const std::string &name)
-{
-    const std::string field = "\"" + name + "\":";
-    return text.insert(text.find(field), field + "0,");
-}
-
-/** Adds heartbeats in which one field is missing, has another type or occurs twice. */
-void addDefectsOfField(std::vector<ForeignHeartbeat> &list, const Json &body, const std::string &parent, const std::string &name)
-{
-    const Json::json_pointer parentPointer(parent);
-    Json without = body;
-    without[parentPointer].erase(name);
-    list.push_back({ name + " is missing", without.dump() });
-    Json otherType = body;
-    otherType[parentPointer][name] = ofAnotherType(body[parentPointer][name]);
-    list.push_back({ name + " has another type", otherType.dump() });
-    list.push_back({ name + " occurs twice", withFieldTwice(body.dump(), name) });
-}
-
-/** @return @p body with one defect each */
-std::vector<ForeignHeartbeat> foreignHeartbeats(const Json &body)
-{
-    std::vector<ForeignHeartbeat> list;
-    for (const auto &[name, value] : body.items()) {
-        addDefectsOfField(list, body, "", name);
-        const Json members = value.is_object() ? value : Json::object();
-        for (const auto &[innerName, innerValue] : members.items()) {
-            addDefectsOfField(list, body, "/" + name, innerName);
-        }
-    }
-    for (const auto &[pointer, value] : std::vector<std::pair<std::string, std::string>> {
-             { "/info/service", UnnamedService }, { "/info/service", "dispatch" }, { "/status/state", "resting" }, { "/address", "127.0.0.1:1" } }) {
-        Json changed = body;
-        changed[Json::json_pointer(pointer)] = value;
-        list.push_back({ pointer + " is " + value, changed.dump() });
-    }
-    list.push_back({ "bytes that are no text", "\xff\xfe" + body.dump() });
-    list.push_back({ "cut off", body.dump().substr(0, 40) });
-    return list;
-}
-
 /** Another writer sends heartbeats and stores records that concern the backend server of the second VM. */
 struct ForeignWriterFixture : PlatformDaemonFixture {
     /** @return a heartbeat that outranks those of the backend server */
--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -325,6 +325,7 @@
         spawn(sendHeartbeats(*vm));
         spawn(simulateSlowPeriods(*vm));
     }
+    spawn(sendForeignHeartbeats());
     spawn(runSoak());
     m_loop.run();
     return m_guarantees.failures();
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -119,6 +119,7 @@
     void simulateClockRollback(SoakVm &vm);
     void writeMalformedRow();
     void sendMalformedDatagram(SoakVm &vm);
+    Task<void> sendForeignHeartbeats();
 
     Task<void> checkRecovery();
     Task<void> runSoak();
