Show restores of the store and the age of the routes' confirmation

Cause: the logs of a daemon that goes by old routes after the store returned from an older copy are the same as those of a sound one: 6001 answer-lost, 6002. Change: responses of the store may state its epoch (RowsDialect reads it); a change is event 6011 and carobjunction_store_restores_total. The age of the confirmation is a gauge, carobjunction_route_confirmation_age_ms. No decision changed.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -91,6 +91,7 @@
                         })
         , m_reportSender(loop, directory, metrics)
     {
+        m_store.setEpochHandler([this](uint64_t previousEpoch, uint64_t epoch) { onStoreRestored(previousEpoch, epoch); });
     }
 
     /**
@@ -123,6 +124,12 @@
         return m_routeFollower.routes();
     }
 
+    /** @return time since the routes in force were known to be the newest, empty before the first routes */
+    std::optional<Duration> routeConfirmationAge() const
+    {
+        return m_routeFollower.confirmationAge();
+    }
+
     PeerClients &peers()
     {
         return m_peerClients;
@@ -172,6 +179,13 @@
     }
 
 private:
+    /** Handles that the store has returned from an older copy. */
+    void onStoreRestored(uint64_t previousEpoch, uint64_t epoch)
+    {
+        m_metrics.add(Counter::StoreRestores);
+        EventLog::write(LogLevel::Warning, Event::StoreRestored, { { "previousEpoch", std::to_string(previousEpoch) }, { "epoch", std::to_string(epoch) } });
+    }
+
     /**
      * Reads the VM table at the start, after the record of this VM is stored, and then periodically. If two daemons start at the same
      * time, the second read of the daemon that stores its record last finds the record of the first daemon, so that it can send its reports to
@@ -271,6 +285,13 @@
         m_peerRecords.apply(row.record, RecordSource::Store);
     }
 
+    /** @return age of the last confirmation of the routes, empty if it is too old to be of use to a peer */
+    std::optional<Duration> reportableConfirmationAge() const
+    {
+        const auto age = m_routeFollower.confirmationAge();
+        return age && *age < RouteConfirmation::MaxAge ? age : std::nullopt;
+    }
+
     GossipMessage message(const TargetReport &load) const
     {
         GossipMessage message;
@@ -280,7 +301,7 @@
         message.revision = own.revision;
         message.peerAddress = own.address;
         message.configVersion = m_routeFollower.version();
-        message.confirmationAge = m_routeFollower.confirmationAge();
+        message.confirmationAge = reportableConfirmationAge();
         message.report = load;
         const TimePoint oldest = SteadyClock().now() - MaxCrashReportAge;
         message.crashes = m_crashHistory.reportsSince(oldest, MaxCrashReports);
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -64,6 +64,7 @@
     LeaseLost = 6008,
     FencedWriteRefused = 6009,
     WatchAbandoned = 6010,
+    StoreRestored = 6011,
 };
 
 template<>
@@ -120,6 +121,7 @@
         { Event::LeaseLost, "lease-lost" },
         { Event::FencedWriteRefused, "fenced-write-refused" },
         { Event::WatchAbandoned, "watch-abandoned" },
+        { Event::StoreRestored, "store-restored" },
     };
 };
 
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -39,6 +39,7 @@
     BodiesWithoutRoom,
     RouteChecks, /**< Checks whether the store has newer routes, because nothing confirmed those in force. */
     WatchesAbandoned,
+    StoreRestores, /**< Restores of the store from an older copy. */
     Count, /**< Number of counters. */
 };
 
@@ -68,6 +69,7 @@
         { Counter::BodiesWithoutRoom, "carobjunction_bodies_without_room_total" },
         { Counter::RouteChecks, "carobjunction_route_checks_total" },
         { Counter::WatchesAbandoned, "carobjunction_watches_abandoned_total" },
+        { Counter::StoreRestores, "carobjunction_store_restores_total" },
     };
 };
 
@@ -95,6 +97,7 @@
     StoreReachable, /**< 1 if the store is reachable, otherwise 0. */
     SlotLimit,
     BodyBytesHeld,
+    RouteConfirmationAgeMs, /**< Time since the routes in force were known to be the newest; 0 before the first routes. */
     Count, /**< Number of gauges. */
 };
 
@@ -103,7 +106,7 @@
     static constexpr std::pair<Gauge, std::string_view> Table[] = {
         { Gauge::ConfigVersion, "carobjunction_config_version" },   { Gauge::KnownVms, "carobjunction_known_vms" },
         { Gauge::StoreReachable, "carobjunction_store_reachable" }, { Gauge::SlotLimit, "carobjunction_slot_limit" },
-        { Gauge::BodyBytesHeld, "carobjunction_body_bytes_held" },
+        { Gauge::BodyBytesHeld, "carobjunction_body_bytes_held" },  { Gauge::RouteConfirmationAgeMs, "carobjunction_route_confirmation_age_ms" },
     };
 };
 
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -101,11 +101,10 @@
         m_confirmation.confirmByPeer(peerVersion, version(), age, now());
     }
 
-    /** @return age of the last confirmation that the routes in force are the newest, empty if it is too old to be of use to a peer */
+    /** @return age of the last confirmation that the routes in force are the newest, empty if there is none */
     std::optional<Duration> confirmationAge() const
     {
-        const auto age = m_confirmation.age(now());
-        return age && *age < RouteConfirmation::MaxAge ? age : std::nullopt;
+        return m_confirmation.age(now());
     }
 
 private:
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -86,9 +86,17 @@
     {
         T::errorFromStatus(response)
         } -> std::same_as<std::optional<TableStoreError>>;
+    {
+        T::epoch(response)
+        } -> std::same_as<std::optional<uint64_t>>;
 };
 
-/** Client of the table store of the platform. On failure, functions return empty and set LastError<TableStoreError>. */
+/**
+ * Client of the table store of the platform. On failure, functions return empty and set LastError<TableStoreError>.
+ *
+ * The responses state the store's epoch, which changes when the store is restored from an older copy. What was written since the copy is lost then, and the
+ * store assigns its versions again.
+ */
 template<TableDialect Dialect>
 class TableStore
 {
@@ -100,11 +108,19 @@
     static constexpr Duration IdleTimeout = std::chrono::seconds(3);
     static constexpr size_t MaxIdleConnections = 4;
 
+    /** Called when a response states another epoch than the one before. */
+    using EpochHandler = std::function<void(uint64_t previousEpoch, uint64_t epoch)>;
+
     TableStore(asio::io_context &loop, const Tcp::endpoint &address)
         : m_connectionPool(std::make_shared<HttpClientPool>(loop, address, PoolLimits { MaxIdleConnections, IdleTimeout }))
     {
     }
 
+    void setEpochHandler(EpochHandler handler)
+    {
+        m_onEpochChanged = std::move(handler);
+    }
+
     /** Reads all rows of a table, page by page. */
     Task<std::optional<TableRows>> scan(std::string table)
     {
@@ -196,13 +212,28 @@
         if (result.end != ExchangeEnd::Answered) {
             co_return LastError<TableStoreError>::fail(TableStoreError::AnswerLost);
         }
+        observeEpoch(Dialect::epoch(result.response));
         if (const auto error = Dialect::errorFromStatus(result.response)) {
             co_return LastError<TableStoreError>::fail(*error);
         }
         co_return std::move(result.response);
     }
 
+    /** @param epoch  epoch that a response states; empty if it states none */
+    void observeEpoch(std::optional<uint64_t> epoch)
+    {
+        if (!epoch || epoch == m_epoch) {
+            return;
+        }
+        const auto previous = std::exchange(m_epoch, epoch);
+        if (previous && m_onEpochChanged) {
+            m_onEpochChanged(*previous, *epoch);
+        }
+    }
+
     std::shared_ptr<HttpClientPool> m_connectionPool;
+    EpochHandler m_onEpochChanged;
+    std::optional<uint64_t> m_epoch; /**< Epoch that the last response stated; empty before the first such response. */
 };
 
 } // namespace carobjunction
--- a/src/process/vmdaemon.h
+++ b/src/process/vmdaemon.h
@@ -266,6 +266,7 @@
             HttpResponse metricsResponse(http::status::ok, 11);
             metricsResponse.set(http::field::content_type, "text/plain; version=0.0.4");
             m_metrics.set(Gauge::BodyBytesHeld, m_bodyBudget->reservedBytes());
+            m_metrics.set(Gauge::RouteConfirmationAgeMs, static_cast<uint64_t>(toMs(m_sync.routeConfirmationAge().value_or(Duration::zero()))));
             metricsResponse.body() = m_metrics.toPrometheus();
             co_return metricsResponse;
         }
--- a/tests/platform/rowsdialecttest.cpp
+++ b/tests/platform/rowsdialecttest.cpp
@@ -158,6 +158,19 @@
     }
 }
 
+TEST_CASE("RowsDialect.epochField.isReadIfItIsANumber")
+{
+    HttpResponse response = makeResponse("{}");
+    CHECK_FALSE(RowsDialect::epoch(response).has_value());
+    for (const char *text : { "", "-1", "1.5", "seven", "7 ", "99999999999999999999" }) {
+        INFO(text);
+        response.set("Store-Era", text);
+        CHECK_FALSE(RowsDialect::epoch(response).has_value());
+    }
+    response.set("Store-Era", "7");
+    CHECK(RowsDialect::epoch(response) == 7U);
+}
+
 TEST_CASE("RowsDialect.anyBytes.areReadOrRejected")
 {
     CHECK(rc::check([](const std::string &bytes) {
