Ask the store again when a response stops halfway

Callers would see: for 10 s, requests that go by old routes, or 404 on a new one.

Cause: a watch whose response had begun to arrive was left alone for 10 s, however long nothing more of it came; no check was made meanwhile. Change: the exchange reports each part of a response. A watch counts as arriving only for a second after the last part, so that a response may still take long on a slow link.

--- a/src/connection/httpclientpool.cpp
+++ b/src/connection/httpclientpool.cpp
@@ -178,10 +178,9 @@
 Task<ErrorCode> HttpClientPool::readResponse(ConnectionPtr connection,
                                              ResponseParser &parser,
                                              IncomingBodyReservation &bodyReservation,
-                                             const std::function<void()> &onHeadComplete)
+                                             const std::function<void()> &onProgress)
 {
     while (!parser.isComplete()) {
-        const bool wasHeadComplete = parser.isHeadComplete();
         const auto unparsed = connection->buffer.data();
         ErrorCode error;
         const size_t consumed = parser.parse({ static_cast<const char *>(unparsed.data()), unparsed.size() }, error);
@@ -189,8 +188,8 @@
         if (error) {
             co_return error;
         }
-        if (!wasHeadComplete && parser.isHeadComplete() && onHeadComplete) {
-            onHeadComplete();
+        if (consumed > 0 && parser.isHeadComplete() && onProgress) {
+            onProgress();
         }
         if (!bodyReservation.growTo(parser.bodyBytes(), parser.isLengthKnown())) {
             co_return bodyBudgetExhausted();
@@ -215,7 +214,7 @@
     for (int unmatched = 0; unmatched < MaxUnmatchedResponses;) {
         ResponseParser parser(MaxHeaderBytes, options.maxBodyBytes, request.method() == http::verb::head);
         IncomingBodyReservation bodyReservation(m_limits.sharedBodyBudget, 1);
-        const ErrorCode error = co_await readResponse(connection, parser, bodyReservation, options.onResponseStarted);
+        const ErrorCode error = co_await readResponse(connection, parser, bodyReservation, options.onProgress);
         connection->hasPartialResponse = error && parser.hasStarted();
         if (exceedsResponseLimit(error) && parser.isHeadComplete()) {
             result.oversizedHead = parser.head();
--- a/src/connection/httpclientpool.h
+++ b/src/connection/httpclientpool.h
@@ -62,7 +62,7 @@
     bool requiresNewConnection = false; /**< For requests whose responses cannot identify them. */
     /** Id of the request; may be empty. A connection that has received a refusal of this id is not used for it again. */
     std::string requestId;
-    std::function<void()> onResponseStarted; /**< Called when the header of a response has been received; may be empty. */
+    std::function<void()> onProgress; /**< Called when the header of a response has been received, and for each part of its body; may be empty. */
     /** Returns whether a response refuses the request, so that it may be sent again with the same id. If empty, no response does. */
     std::function<bool(const HttpResponse &)> isRefusal;
 };
@@ -116,7 +116,7 @@
     static Task<ErrorCode> receiveBytes(ConnectionPtr connection);
     Task<StreamEnd> streamEnd(ConnectionPtr connection);
     Task<ErrorCode>
-    readResponse(ConnectionPtr connection, ResponseParser &parser, IncomingBodyReservation &bodyReservation, const std::function<void()> &onHeadComplete);
+    readResponse(ConnectionPtr connection, ResponseParser &parser, IncomingBodyReservation &bodyReservation, const std::function<void()> &onProgress);
     void logDiscardedResponse(const std::string &requestId, const ExchangeResult &result) const;
     void returnToPool(const ConnectionPtr &connection, const HttpResponse &response);
 
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -35,8 +35,8 @@
     static constexpr Duration WatchGrace = std::chrono::milliseconds(500);
     /** Time for which a check waits for changes. Not zero, so that the store looks for changes at all. */
     static constexpr Duration CheckWait = std::chrono::milliseconds(10);
-    /** Time for which a response to a watch may arrive without a check. Large routes take seconds to all daemons of a region. */
-    static constexpr Duration MaxReceiveDuration = std::chrono::seconds(10);
+    /** Time without a further part of a response after which its watch counts as lost. The whole response may take longer on a slow link. */
+    static constexpr Duration MaxReceivePause = std::chrono::seconds(1);
     /** Interval at which a due check waits for the next watch, while the store has not answered the last one. */
     static constexpr Duration WatchPollInterval = std::chrono::milliseconds(50);
 
@@ -143,17 +143,24 @@
     {
         ++m_watchNumber;
         m_watchAnsweredAt.reset();
+        m_watchProgressAt.reset();
         m_watchCancellation = nullptr; // a previous run of the task may have failed during a watch
         if (!m_storeVersion) {
             co_return co_await m_store.scan(Platform::ConfigTable);
         }
         m_watchCancellation = std::make_shared<Cancellation>();
-        auto rows
-            = co_await m_store.watch(Platform::ConfigTable, *m_storeVersion, MaxWatchDuration, m_watchCancellation, [this] { m_watchAnsweredAt = now(); });
+        auto rows = co_await m_store.watch(Platform::ConfigTable, *m_storeVersion, MaxWatchDuration, m_watchCancellation, [this] { onWatchProgress(); });
         m_watchCancellation = nullptr;
         co_return rows;
     }
 
+    /** Records that a part of the response to the watch has arrived. */
+    void onWatchProgress()
+    {
+        m_watchProgressAt = now();
+        m_watchAnsweredAt = m_watchAnsweredAt.value_or(*m_watchProgressAt);
+    }
+
     /** Applies the newest routes among @p rows. @return whether they are newer than those in force before */
     bool applyRows(const TableRows &rows, const char *source)
     {
@@ -226,10 +233,10 @@
         co_return rows;
     }
 
-    /** @return whether the response to the watch has begun to arrive, so that the watch is not lost */
+    /** @return whether the response to the watch is arriving, so that the watch is not lost */
     bool isReceiving() const
     {
-        return m_watchAnsweredAt && now() - *m_watchAnsweredAt < MaxReceiveDuration;
+        return m_watchProgressAt && now() - *m_watchProgressAt < MaxReceivePause;
     }
 
     /** Ends the watch with this number, if it is still in progress without a response, so that a new one is sent on another connection. */
@@ -253,6 +260,7 @@
     std::optional<uint64_t> m_storeVersion; /**< Version of the store that the routes reflect; empty if the table must be read again. */
     uint64_t m_watchNumber = 0; /**< Number of the last read or watch of the table. */
     std::optional<TimePoint> m_watchAnsweredAt; /**< Time at which the response to the watch began to arrive. */
+    std::optional<TimePoint> m_watchProgressAt; /**< Time at which the last part of that response arrived. */
     bool m_isWatchAbandoned = false; /**< The last watch was ended by this daemon, which is no failure of the store. */
     CancellationPtr m_watchCancellation; /**< Ends the watch in progress; null if there is none. */
     std::shared_ptr<const RouteTable> m_routes;
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -150,14 +150,14 @@
      * @param afterVersion  version whose later changes are returned
      * @param wait  maximum time to wait for a change
      * @param cancellation  ends the call and closes its connection; null if the call is not cancelled
-     * @param onResponseStarted  called when a response begins to arrive; may be empty
+     * @param onProgress  called when a response begins to arrive and for each further part of it; may be empty
      * @return the changes, possibly none
      */
     Task<std::optional<TableRows>>
-    watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr, std::function<void()> onResponseStarted = {})
+    watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr, std::function<void()> onProgress = {})
     {
         HttpRequest request = Dialect::watch(table, afterVersion, wait);
-        co_return parseRowsResponse(co_await sendRequest(std::move(request), wait + CallTimeout, std::move(cancellation), std::move(onResponseStarted)));
+        co_return parseRowsResponse(co_await sendRequest(std::move(request), wait + CallTimeout, std::move(cancellation), std::move(onProgress)));
     }
 
     /** Applies a change if all its conditions hold. @param timeout  time to wait for the response */
@@ -193,7 +193,7 @@
     }
 
     Task<std::optional<HttpResponse>>
-    sendRequest(HttpRequest request, Duration timeout, CancellationPtr cancellation = nullptr, std::function<void()> onResponseStarted = {})
+    sendRequest(HttpRequest request, Duration timeout, CancellationPtr cancellation = nullptr, std::function<void()> onProgress = {})
     {
         if (!cancellation) {
             cancellation = std::make_shared<Cancellation>();
@@ -201,7 +201,7 @@
         ExchangeOptions options;
         options.deadline = SteadyClock().now() + timeout;
         options.connectTimeout = ConnectTimeout;
-        options.onResponseStarted = std::move(onResponseStarted);
+        options.onProgress = std::move(onProgress);
         ExchangeResult result = co_await m_connectionPool->exchange(std::move(request), std::move(options), std::move(cancellation));
         if (result.end == ExchangeEnd::NotSent) {
             co_return LastError<TableStoreError>::fail(TableStoreError::Unreachable);
--- a/tests/platform/routefollowertest.cpp
+++ b/tests/platform/routefollowertest.cpp
@@ -1,15 +1,9 @@
-#include "platform/platformadapter.h"
-#include "platform/platformstandins.h"
-#include "platform/publishedconfig.h"
-#include "process/clustersync.h"
+#include "platform/routefollowerfixture.h"
 
 #include "connection/endpoints.h"
-#include "freeports.h"
 
 #include <boost/asio/write.hpp>
 
-#include <catch2/catch.hpp>
-
 #include <random>
 
 using namespace carobjunction;
@@ -19,91 +13,7 @@
 namespace
 {
 
-/** Three daemons' ClusterSync objects, run in the test process against one stand-in for the table store. */
-struct RouteFollowerFixture {
-    static constexpr Duration ApplyLimit = 2500ms; /**< Time after its acknowledgement within which a version must be in force. */
-    static constexpr Duration RecoveryLimit = 4s; /**< Time after the end of an outage within which versions must be in force again. */
-
-    struct Daemon {
-        VmSettings settings;
-        CrashHistory crashes;
-        Metrics metrics;
-        std::unique_ptr<VmDirectory> directory;
-        std::unique_ptr<ClusterSync<PlatformAdapter>> sync;
-    };
-
-    RouteFollowerFixture()
-    {
-        publish(1);
-        for (size_t i = 0; i < daemons.size(); ++i) {
-            start(daemons[i], "vm-" + std::to_string(i + 1));
-        }
-        REQUIRE(waitFor([this] { return allHave(1); }, 5s));
-        runFor(3s); // the second read of the VM table
-    }
-
-    void start(Daemon &daemon, const std::string &name, const std::string &storeAddress = "")
-    {
-        daemon.settings.daemon = name;
-        daemon.settings.dataCentre = "a";
-        daemon.settings.region = "r";
-        daemon.settings.storeAddress = storeAddress.empty() ? store.address() : storeAddress;
-        daemon.settings.peerAddress = "127.0.0.1:" + std::to_string(ports.allocatePort());
-        daemon.directory = std::make_unique<VmDirectory>(name, Locality { "a", "r" });
-        daemon.sync = std::make_unique<ClusterSync<PlatformAdapter>>(loop, daemon.settings, *daemon.directory, daemon.crashes, daemon.metrics, nullptr);
-        daemon.sync->start([] { return TargetReport {}; }, [](const BackendRecord *) {});
-    }
-
-    void publish(int version)
-    {
-        store.put("op", "config", publishedConfig(version, { { "/look/", "idempotent", "ordering" } }));
-    }
-
-    bool allHave(uint64_t version) const
-    {
-        return std::all_of(
-            daemons.begin(), daemons.end(), [version](const Daemon &daemon) { return daemon.sync->routes() && daemon.sync->routes()->version() >= version; });
-    }
-
-    void runFor(Duration time)
-    {
-        loop.restart();
-        loop.run_for(time);
-    }
-
-    bool waitFor(const std::function<bool()> &condition, Duration limit)
-    {
-        const TimePoint end = SteadyClock().now() + limit;
-        while (SteadyClock().now() < end && !condition()) {
-            runFor(10ms);
-        }
-        return condition();
-    }
-
-    /** Leaves the calls that are in progress or arrive within @p time without a response. */
-    void silenceStore(Duration time)
-    {
-        store.isSilent = true;
-        runFor(time);
-        store.isSilent = false;
-    }
-
-    uint64_t total(Counter counter) const
-    {
-        uint64_t sum = 0;
-        for (const Daemon &daemon : daemons) {
-            sum += daemon.metrics.value(counter);
-        }
-        return sum;
-    }
-
-    asio::io_context loop { 1 };
-    bench::FreePorts ports;
-    StandInTableStore store { loop };
-    std::array<Daemon, 3> daemons;
-};
-
-/** Forwards connections to a server and delivers its responses at a limited rate, like a slow link. */
+/** Forwards connections to a server and delivers its responses at a limited rate, like a slow link. It may stop to deliver to open connections. */
 class SlowLink
 {
 public:
@@ -121,6 +31,12 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    /** Delivers nothing more to the connections that are open when this many more bytes of responses have been delivered. */
+    void stopConnectionsAfter(size_t bytes)
+    {
+        m_bytesUntilStop = bytes;
+    }
+
 private:
     using Socket = std::shared_ptr<Tcp::socket>;
 
@@ -140,8 +56,14 @@
         std::array<char, ChunkBytes> buffer {};
         asio::steady_timer timer(m_loop);
         ErrorCode error;
+        const int stopsBefore = m_stops;
         while (!error) {
             const size_t size = co_await source->async_read_some(asio::buffer(buffer), redirectError(error));
+            countUntilStop(interval > 0ms ? size : 0);
+            if (m_stops > stopsBefore) {
+                timer.expires_at(TimePoint::max());
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             if (!error) {
                 co_await asio::async_write(*target, asio::buffer(buffer, size), redirectError(error));
             }
@@ -152,32 +74,66 @@
         target->close(error);
     }
 
+    void countUntilStop(size_t bytes)
+    {
+        if (m_bytesUntilStop && bytes >= *m_bytesUntilStop) {
+            m_bytesUntilStop.reset();
+            ++m_stops;
+        } else if (m_bytesUntilStop) {
+            *m_bytesUntilStop -= bytes;
+        }
+    }
+
+    std::optional<size_t> m_bytesUntilStop;
+    int m_stops = 0;
     asio::io_context &m_loop;
     Tcp::endpoint m_server;
     Tcp::acceptor m_acceptor;
 };
 
+/** A daemon at the end of a slow link to a store that has no other daemons, so that no peer delivers the routes. */
+struct RemoteDaemonFixture : RouteFollowerFixture {
+    RemoteDaemonFixture()
+    {
+        remoteStore.put("op", "config", publishedConfig(1, { { "/look/", "idempotent", "ordering" } }));
+        start(remote, "vm-remote", link.address());
+        REQUIRE(waitFor([&] { return remote.sync->routes() != nullptr; }, 5s));
+        runFor(1s);
+    }
+
+    static std::vector<PublishedRoute> manyRoutes(int count)
+    {
+        std::vector<PublishedRoute> routes;
+        for (int i = 0; i < count; ++i) {
+            routes.push_back({ "/route-" + std::to_string(i) + "/", "idempotent", "ordering" });
+        }
+        return routes;
+    }
+
+    StandInTableStore remoteStore { loop };
+    SlowLink link { loop, remoteStore.address() };
+    Daemon remote;
+};
+
 } // namespace
 
-TEST_CASE_METHOD(RouteFollowerFixture, "RouteFollower.largeRoutesOnASlowLink.arriveInOneResponse")
+TEST_CASE_METHOD(RemoteDaemonFixture, "RouteFollower.largeRoutesOnASlowLink.arriveInOneResponse")
 {
     // Guards against routes that never arrive: a response that takes longer than the limit of a check was ended and requested again.
-    StandInTableStore remoteStore(loop); // has no other daemons, so that no peer delivers the routes
-    remoteStore.put("op", "config", publishedConfig(1, { { "/look/", "idempotent", "ordering" } }));
-    SlowLink link(loop, remoteStore.address());
-    Daemon remote;
-    start(remote, "vm-remote", link.address());
-    REQUIRE(waitFor([&] { return remote.sync->routes() != nullptr; }, 5s));
-    runFor(1s);
-    std::vector<PublishedRoute> routes;
-    for (int i = 0; i < 800; ++i) {
-        routes.push_back({ "/route-" + std::to_string(i) + "/", "idempotent", "ordering" });
-    }
-    remoteStore.put("op", "config", publishedConfig(2, routes));
+    remoteStore.put("op", "config", publishedConfig(2, manyRoutes(800)));
     CHECK(waitFor([&] { return remote.sync->routes()->version() == 2; }, 9s));
     CHECK(remote.metrics.value(Counter::WatchesAbandoned) == 0);
 }
 
+TEST_CASE_METHOD(RemoteDaemonFixture, "RouteFollower.responseThatStopsHalfway.newVersionIsInForceInTime")
+{
+    // Guards against a daemon that waits for the rest of a response which does not arrive, instead of asking again.
+    link.stopConnectionsAfter(20'000);
+    remoteStore.put("op", "config", publishedConfig(2, manyRoutes(100)));
+    CHECK(waitFor([&] { return remote.sync->routes()->version() == 2; }, RecoveryLimit));
+    CHECK(remote.metrics.value(Counter::WatchesAbandoned) == 1);
+}
+
 TEST_CASE_METHOD(RouteFollowerFixture, "RouteFollower.watchesThatAreLostInAnOutage.newVersionIsInForceInTime")
 {
     // Guards against requests that go by old routes, because the watches of all daemons were lost in an outage of the store that left their
