Read the routes again after the store was restored from an older copy

Cause: the store came back some seconds old and gave out its versions again. The daemons asked for the changes after a version that they had read before; new routes had got that version or a lower one, so the answer was empty. They took it as a confirmation and reported it to each other, so that nobody asked otherwise.

Change: a version is valid only in the epoch that the store states. When a response states another one, the position is dropped, the watch in progress ended and the table read; a watch sent before fails with history-lost. Position and rows of a whole read replace the position, also if it was higher. A confirmation by a peer that has seen a later epoch (new optional element of the datagram) does not count, so that each daemon sees the restore itself, also if its watch hangs. Why it works: every answer bears the epoch, so no answer of another epoch is taken as news or as the lack of it. OddDatagram.* was built, not yet run.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -179,11 +179,12 @@
     }
 
 private:
-    /** Handles that the store has returned from an older copy. */
+    /** Handles that the store has returned from an older copy: versions read before are no longer valid. */
     void onStoreRestored(uint64_t previousEpoch, uint64_t epoch)
     {
         m_metrics.add(Counter::StoreRestores);
         EventLog::write(LogLevel::Warning, Event::StoreRestored, { { "previousEpoch", std::to_string(previousEpoch) }, { "epoch", std::to_string(epoch) } });
+        m_routeFollower.onStoreRestored();
     }
 
     /**
@@ -302,6 +303,7 @@
         message.peerAddress = own.address;
         message.configVersion = m_routeFollower.version();
         message.confirmationAge = reportableConfirmationAge();
+        message.storeEpoch = m_store.epoch();
         message.report = load;
         const TimePoint oldest = SteadyClock().now() - MaxCrashReportAge;
         message.crashes = m_crashHistory.reportsSince(oldest, MaxCrashReports);
@@ -309,6 +311,16 @@
         return message;
     }
 
+    /**
+     * @return whether the sender of @p message has seen a restore of the store that this daemon has not. Its confirmations do not count then, so that
+     *         this daemon asks the store and sees the restore as well.
+     */
+    bool hasSeenLaterRestore(const GossipMessage &message) const
+    {
+        const auto epoch = m_store.epoch();
+        return message.storeEpoch && epoch && *message.storeEpoch > *epoch;
+    }
+
     void onDatagram(std::string_view datagram)
     {
         m_metrics.add(Counter::GossipBytesReceived, datagram.size());
@@ -326,7 +338,7 @@
         for (const uint64_t fingerprint : message->clearedFingerprints) {
             m_crashHistory.onAnswered(fingerprint, now);
         }
-        if (message->confirmationAge) {
+        if (message->confirmationAge && !hasSeenLaterRestore(*message)) {
             m_routeFollower.onPeerConfirmation(message->configVersion, *message->confirmationAge);
         }
         if (message->configVersion > m_routeFollower.version()) {
--- a/src/process/gossipmessage.cpp
+++ b/src/process/gossipmessage.cpp
@@ -20,8 +20,10 @@
 
 constexpr double Percent = 100;
 constexpr uint64_t AnyHash = std::numeric_limits<uint64_t>::max();
+constexpr uint64_t AnyEpoch = std::numeric_limits<uint64_t>::max();
 constexpr size_t ConfirmationAgeIndex = 9; // in milliseconds, or null; older daemons send no such element
-constexpr size_t ClearedIndex = 10; // list; absent if it is empty
+constexpr size_t ClearedIndex = 10; // list; absent if it is empty and no element follows
+constexpr size_t StoreEpochIndex = 11; // absent if it is unknown
 constexpr JsonLimits DatagramLimits { 65'536, 4 }; // a valid message has three levels of nested arrays, one fewer than the limit
 
 uint32_t toPercent(double value)
@@ -78,6 +80,9 @@
     if (json.size() > ConfirmationAgeIndex && !json.at(ConfirmationAgeIndex).is_null()) {
         message.confirmationAge = std::chrono::milliseconds(boundedjson::unsignedInteger32(json.at(ConfirmationAgeIndex)));
     }
+    if (json.size() > StoreEpochIndex) {
+        message.storeEpoch = boundedjson::unsignedInteger(json.at(StoreEpochIndex), AnyEpoch);
+    }
     // The address is optional. A message without one reports only load, since there is no address to fetch the state from.
     if (message.daemon.empty() || !(message.peerAddress.empty() || isConnectableAddress(message.peerAddress))) {
         throw MessageParseError("gossip message names no daemon, or its peer address is not an ip:port that can be connected to");
@@ -103,12 +108,16 @@
                    std::move(crashList),
                    { toJson(report.slots.upper), toJson(report.slots.lower) },
                    record ? VmRecordCodec::encode(*record) : "" };
-    if (confirmationAge || !clearedFingerprints.empty()) {
+    const bool hasCleared = !clearedFingerprints.empty() || storeEpoch;
+    if (confirmationAge || hasCleared) {
         message.push_back(confirmationAge ? Json(toMs(*confirmationAge)) : Json());
     }
-    if (!clearedFingerprints.empty()) {
+    if (hasCleared) {
         message.push_back(clearedFingerprints);
     }
+    if (storeEpoch) {
+        message.push_back(*storeEpoch);
+    }
     const std::vector<uint8_t> bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/process/gossipmessage.h
+++ b/src/process/gossipmessage.h
@@ -20,6 +20,8 @@
     uint64_t configVersion = 0; /**< Version of the routes in force at the sender; 0 if it has none. */
     /** Age of the last confirmation that these routes are the newest; empty if there is none, or if an older daemon sent the message. */
     std::optional<Duration> confirmationAge;
+    /** Epoch of the store that the sender has seen last; empty if the store states none, or if an older daemon sent the message. */
+    std::optional<uint64_t> storeEpoch;
     TargetReport report;
     std::vector<CrashReport> crashes; /**< Recent crashes. Each is included in several messages, because datagrams may be lost. */
     std::vector<uint64_t> clearedFingerprints; /**< Requests that were answered although crashes had been reported for them. */
--- a/src/process/routefollower.h
+++ b/src/process/routefollower.h
@@ -101,6 +101,13 @@
         m_confirmation.confirmByPeer(peerVersion, version(), age, now());
     }
 
+    /** Reads the routes again, because the store was restored from an older copy and assigns versions that it had assigned before. */
+    void onStoreRestored()
+    {
+        m_storeVersion.reset();
+        abandonWatch(m_watchNumber, "store-restored");
+    }
+
     /** @return age of the last confirmation that the routes in force are the newest, empty if there is none */
     std::optional<Duration> confirmationAge() const
     {
@@ -120,6 +127,7 @@
         Backoff backoff;
         while (true) {
             const TimePoint sentAt = now();
+            const bool isWatch = m_storeVersion.has_value();
             const auto rows = co_await readOrWatch();
             const TimePoint confirmedAt = std::exchange(m_watchAnsweredAt, std::nullopt).value_or(sentAt);
             if (rows) {
@@ -127,7 +135,7 @@
                 backoff.reset();
                 m_confirmation.confirm(confirmedAt);
                 applyRows(*rows, "store");
-            } else if (LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
+            } else if (isWatch && LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
                 m_storeVersion.reset();
             } else {
                 if (!std::exchange(m_isWatchAbandoned, false)) {
@@ -164,7 +172,7 @@
     /** Applies the newest routes among @p rows. @return whether they are newer than those in force before */
     bool applyRows(const TableRows &rows, const char *source)
     {
-        m_storeVersion = std::max(m_storeVersion.value_or(0), rows.version);
+        m_storeVersion = rows.isSnapshot ? rows.version : std::max(m_storeVersion.value_or(0), rows.version);
         bool isNewer = false;
         for (const TableRow &row : rows.rows) {
             if (row.key == Platform::ConfigKey && row.isUnreadable) {
@@ -223,14 +231,16 @@
         co_return true;
     }
 
-    /** @return the changes of the table since the last response, or all of its rows if the store has discarded its history */
+    /** @return the changes of the table since the last response, or all of its rows if the store can't tell the changes */
     Task<std::optional<TableRows>> readChanges()
     {
-        auto rows = co_await m_store.watch(Platform::ConfigTable, m_storeVersion.value_or(0), CheckWait);
-        if (!rows && LastError<TableStoreError>::get() == TableStoreError::HistoryLost) {
-            rows = co_await m_store.scan(Platform::ConfigTable);
+        if (m_storeVersion) {
+            auto changes = co_await m_store.watch(Platform::ConfigTable, *m_storeVersion, CheckWait);
+            if (changes || LastError<TableStoreError>::get() != TableStoreError::HistoryLost) {
+                co_return changes;
+            }
         }
-        co_return rows;
+        co_return co_await m_store.scan(Platform::ConfigTable);
     }
 
     /** @return whether the response to the watch is arriving, so that the watch is not lost */
--- a/src/process/tablestore.h
+++ b/src/process/tablestore.h
@@ -30,6 +30,7 @@
 struct TableRows {
     std::vector<TableRow> rows;
     uint64_t version = 0; /**< Store version that the rows reflect. */
+    bool isSnapshot = false; /**< Whether these are all rows of the table, not changes to them. */
     bool hasMore = false; /**< Whether further rows follow in another page. */
 };
 
@@ -52,7 +53,7 @@
     Unreachable, /**< No connection could be opened; the request was not sent. */
     AnswerLost, /**< No response arrived; a change may have been applied, or may be applied later. */
     Refused, /**< The store is unavailable to this VM, or its rate limit is exceeded; nothing was changed. */
-    HistoryLost, /**< The store no longer retains the changes since the requested version. */
+    HistoryLost, /**< The store does not retain the changes since the requested version, or was restored from an older copy during the call. */
     Malformed, /**< The response could not be parsed. */
 };
 
@@ -121,16 +122,29 @@
         m_onEpochChanged = std::move(handler);
     }
 
+    /** @return epoch that the last response stated; empty before the first such response */
+    std::optional<uint64_t> epoch() const
+    {
+        return m_epoch;
+    }
+
     /** Reads all rows of a table, page by page. */
     Task<std::optional<TableRows>> scan(std::string table)
     {
         TableRows allRows;
+        allRows.isSnapshot = true;
         std::string startKey;
+        std::optional<uint64_t> firstPageEpoch;
         while (true) {
             const auto page = parseRowsResponse(co_await sendRequest(Dialect::scan(table, startKey), CallTimeout));
             if (!page) {
                 co_return std::nullopt;
             }
+            if (startKey.empty()) {
+                firstPageEpoch = m_epoch;
+            } else if (m_epoch != firstPageEpoch) {
+                co_return LastError<TableStoreError>::fail(TableStoreError::HistoryLost);
+            }
             allRows.rows.insert(allRows.rows.end(), page->rows.begin(), page->rows.end());
             // Changes must be read from the version of the first page, because rows of earlier pages may change while later ones are read.
             allRows.version = allRows.version == 0 ? page->version : allRows.version;
@@ -146,8 +160,9 @@
     }
 
     /**
-     * Waits for changes of a table that are newer than a version.
-     * @param afterVersion  version whose later changes are returned
+     * Waits for changes of a table that are newer than a version. Fails with HistoryLost if the store was restored since that version was read,
+     * because it assigns versions again then, so that a change may have a version which is not newer.
+     * @param afterVersion  version whose later changes are returned; read in the epoch that the last response stated
      * @param wait  maximum time to wait for a change
      * @param cancellation  ends the call and closes its connection; null if the call is not cancelled
      * @param onProgress  called when a response begins to arrive and for each further part of it; may be empty
@@ -156,8 +171,13 @@
     Task<std::optional<TableRows>>
     watch(std::string table, uint64_t afterVersion, Duration wait, CancellationPtr cancellation = nullptr, std::function<void()> onProgress = {})
     {
+        const auto epoch = m_epoch;
         HttpRequest request = Dialect::watch(table, afterVersion, wait);
-        co_return parseRowsResponse(co_await sendRequest(std::move(request), wait + CallTimeout, std::move(cancellation), std::move(onProgress)));
+        auto rows = parseRowsResponse(co_await sendRequest(std::move(request), wait + CallTimeout, std::move(cancellation), std::move(onProgress)));
+        if (rows && epoch && m_epoch != epoch) {
+            co_return LastError<TableStoreError>::fail(TableStoreError::HistoryLost);
+        }
+        co_return rows;
     }
 
     /** Applies a change if all its conditions hold. @param timeout  time to wait for the response */
--- a/tests/platform/platformstandins.cpp
+++ b/tests/platform/platformstandins.cpp
@@ -83,6 +83,19 @@
     m_rows[{ table, key }] = { encodeBase64(value), ++m_version };
 }
 
+void StandInTableStore::takeCopy()
+{
+    m_copiedRows = m_rows;
+    m_copiedVersion = m_version;
+}
+
+void StandInTableStore::restoreCopy()
+{
+    m_rows = m_copiedRows;
+    m_version = m_copiedVersion;
+    ++m_epoch;
+}
+
 std::optional<std::string> StandInTableStore::value(const std::string &table, const std::string &key) const
 {
     const auto found = m_rows.find({ table, key });
@@ -113,6 +126,9 @@
     if (isSilent) {
         co_await waitForever();
     }
+    if (response && statesEpoch) {
+        response->set("Store-Era", std::to_string(m_epoch));
+    }
     co_return response;
 }
 
@@ -172,8 +188,9 @@
     return jsonResponse(http::status::ok, { { "rows", std::move(rows) }, { "has_more", false }, { "ver", m_version }, { "now_ms", 1 } });
 }
 
-Task<HttpResponse> StandInTableStore::feed(std::string target)
+Task<MaybeResponse> StandInTableStore::feed(std::string target)
 {
+    const uint64_t epoch = m_epoch;
     const uint64_t after = std::stoull(queryParameter(target, "after"));
     const TimePoint end = SteadyClock().now() + std::chrono::milliseconds(std::stoull(queryParameter(target, "wait_ms")));
     asio::steady_timer timer(m_loop);
@@ -181,7 +198,10 @@
         if (isSilent) {
             co_await waitForever();
         }
-        if (after < m_oldestRetainedVersion) {
+        if (m_epoch != epoch) {
+            co_return std::nullopt;
+        }
+        if (after < m_oldestRetainedVersion || after > m_version) {
             co_return textResponse(http::status::gone, "history lost");
         }
         const Json rows = rowsOf(queryParameter(target, "table_name"), after);
--- a/tests/platform/platformstandins.h
+++ b/tests/platform/platformstandins.h
@@ -33,6 +33,13 @@
         m_oldestRetainedVersion = m_version;
     }
 
+    /** Keeps a copy of all rows for restoreCopy(). */
+    void takeCopy();
+
+    /** Returns to the copy: later rows are lost, their versions are assigned again, and watches in progress end without a response. */
+    void restoreCopy();
+
+    bool statesEpoch = true; /**< Whether responses state the number of restores so far. */
     bool isDown = false; /**< Responds to all requests with 503. */
     Duration delay = Duration::zero(); /**< Delay before each request is processed. */
     std::vector<nlohmann::json> malformedRows; /**< Rows of another writer, appended unchanged to each table that is read. */
@@ -52,7 +59,7 @@
     Task<MaybeResponse> answer(HttpRequest request);
     Task<void> waitForever();
     Task<void> performLate(HttpRequest request);
-    Task<HttpResponse> feed(std::string target);
+    Task<MaybeResponse> feed(std::string target);
     HttpResponse get(const std::string &target) const;
     MaybeResponse transact(const HttpRequest &request);
     nlohmann::json rowsOf(const std::string &table, uint64_t after) const;
@@ -60,6 +67,9 @@
     asio::io_context &m_loop;
     std::shared_ptr<HttpListener> m_listener;
     std::map<Key, Row> m_rows;
+    std::map<Key, Row> m_copiedRows;
+    uint64_t m_copiedVersion = 0;
+    uint64_t m_epoch = 1;
     uint64_t m_version = 1;
     uint64_t m_oldestRetainedVersion = 0;
 };
--- a/tests/process/odddatagramstest.cpp
+++ b/tests/process/odddatagramstest.cpp
@@ -29,6 +29,7 @@
     message.revision = 2;
     message.peerAddress = "10.0.0.1:8000";
     message.configVersion = 3;
+    message.storeEpoch = 4;
     message.report.limit = 9;
     message.crashes.push_back({ MaxUint64, "i-1" });
     return message;
@@ -55,12 +56,23 @@
     REQUIRE(message.has_value());
     REQUIRE(message->crashes.size() == 1);
     CHECK(message->crashes[0].fingerprint == MaxUint64); // a hash, so the full 64-bit range is valid
+    CHECK(message->storeEpoch == 4U);
+    CHECK_FALSE(message->confirmationAge.has_value());
+}
+
+TEST_CASE("OddDatagram.messageOfAnEarlierDaemon.statesNoEpoch")
+{
+    Json json = sampleJson();
+    json.erase(11);
+    const auto message = GossipMessage::decode(toCbor(json));
+    REQUIRE(message.has_value());
+    CHECK_FALSE(message->storeEpoch.has_value());
 }
 
 TEST_CASE("OddDatagram.numberOutOfRange.isRefused")
 {
     // Guards against numeric conversions with undefined results, and against version numbers so high that no later version can supersede them.
-    for (const char *field : { "/1", "/2", "/4", "/5/0", "/5/1", "/5/2", "/5/3", "/7/0/0", "/7/1/2", "/6/0/0" }) {
+    for (const char *field : { "/1", "/2", "/4", "/5/0", "/5/1", "/5/2", "/5/3", "/7/0/0", "/7/1/2", "/6/0/0", "/11" }) {
         INFO(field);
         for (const Json &value :
              { Json(-1), Json(1.5), Json(1e300), Json(std::nan("")), Json(INFINITY), Json("1"), Json(true), Json(nullptr), Json::array() }) {
