Write the VM's record again after the store was restored from an older copy

Callers would see: requests to a server whose leave was acknowledged, if all daemons end after the restore; and a VM that daemons started later don't know.

Cause: a daemon wrote its row only when its record changed, and compared the row's version with one that the store had forgotten; a lost row was noticed after 45 to 75 s and not written again even then. Change: OwnRecord writes the row again when the store states another epoch.

--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -179,12 +179,13 @@
     }
 
 private:
-    /** Handles that the store has returned from an older copy: versions read before are no longer valid. */
+    /** Handles that the store has returned from an older copy: versions read before are no longer valid, and this VM's row may be lost. */
     void onStoreRestored(uint64_t previousEpoch, uint64_t epoch)
     {
         m_metrics.add(Counter::StoreRestores);
         EventLog::write(LogLevel::Warning, Event::StoreRestored, { { "previousEpoch", std::to_string(previousEpoch) }, { "epoch", std::to_string(epoch) } });
         m_routeFollower.onStoreRestored();
+        m_ownRecord.onStoreRestored();
     }
 
     /**
--- a/src/process/ownrecord.h
+++ b/src/process/ownrecord.h
@@ -144,6 +144,13 @@
         m_callbacks.restoreBackend(nullptr);
     }
 
+    /** Writes the record again, because the store was restored from an older copy, which may lack it. */
+    void onStoreRestored()
+    {
+        m_isWritePending = true;
+        m_writeTimer.cancel();
+    }
+
     /**
      * Handles a record of this VM that was read from the store or a peer. It may stem from a previous run of this daemon, whose
      * incarnation can be higher than the present one if the clock has been set back since.
--- a/tests/platform/keptleavetest.cpp
+++ b/tests/platform/keptleavetest.cpp
@@ -123,3 +123,22 @@
     CHECK(SteadyClock().now() - start < 1s);
     CHECK(hasStoredState("draining"));
 }
+
+TEST_CASE_METHOD(KeptLeaveFixture, "KeptLeave.storeRestoredFromACopy.serverGetsNoMoreRequests")
+{
+    // Guards against a leave that is lost with the store's last writes, and with all daemons soon after.
+    store.takeCopy();
+    const uint64_t sequenceBeforeLeave = vms[1].sequence;
+    REQUIRE(sendLeave(vms[1]) == 200);
+    REQUIRE(waitFor([this] { return !hasStoredState("ready"); }));
+    store.restoreCopy();
+    CHECK(waitFor([this] { return !hasStoredState("ready"); }, 4s));
+    vms[0].daemon->kill();
+    vms[1].daemon->kill();
+    start(vms[0]);
+    start(vms[1]);
+    REQUIRE(waitFor([&] { return getStatus(vms[0].ready, "/v1/readyz") == 200 && getStatus(vms[1].ready, "/v1/readyz") == 200; }));
+    vms[1].sequence = sequenceBeforeLeave; // the late heartbeat was sent before the leave
+    sendHeartbeat(vms[1]);
+    CHECK(lookupsThatArrive(2s) == 0);
+}
--- a/tests/platform/storerestoretest.cpp
+++ b/tests/platform/storerestoretest.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr const char *VmTable = ClusterSync<PlatformAdapter>::VmTableName;
+
 /** How the store is away before it returns from a copy. */
 enum class Absence { Refusing, Silent, None };
 
@@ -63,6 +65,18 @@
     }
 }
 
+TEST_CASE_METHOD(RouteFollowerFixture, "StoreRestore.recordWrittenAfterTheCopy.isWrittenAgain")
+{
+    // Guards against a VM that daemons started later don't know: its row was lost with the store's last writes.
+    store.takeCopy();
+    Daemon late;
+    start(late, "vm-late");
+    REQUIRE(waitFor([this] { return store.value(VmTable, "vm-late").has_value(); }, 5s));
+    runFor(500ms); // its watch is in progress
+    store.restoreCopy();
+    CHECK(waitFor([this] { return store.value(VmTable, "vm-late").has_value(); }, RecoveryLimit));
+}
+
 TEST_CASE_METHOD(PlatformDaemonFixture, "StoreRestore.routesMovedAndAdded.allDaemonsFollowThemInTime")
 {
     // Guards against the incident of real processes: 404 on an added route, and requests run by the service that a route had before.
