Restore the store from older copies throughout the soak, and check that versions come into force in time

Change: beside all other faults the store is away for up to 1.5 s, returns from a copy of up to 2 s before, and the operator writes its configuration or a newer one. An acknowledged version must be in force 2.5 s later, unless VM, process or store failed in the last 4 s.

--- a/tests/soak/guaranteechecker.cpp
+++ b/tests/soak/guaranteechecker.cpp
@@ -42,6 +42,16 @@
     m_processEndedAt[vm] = now;
 }
 
+void GuaranteeChecker::onStoreFault(TimePoint until)
+{
+    m_storeFaultyUntil = std::max(m_storeFaultyUntil, until);
+}
+
+void GuaranteeChecker::onVersionAcknowledged(int version, TimePoint now)
+{
+    m_versionAcknowledgedAt.try_emplace(version, now);
+}
+
 bool GuaranteeChecker::hasRecovered(const std::string &vm, TimePoint now) const
 {
     const auto found = m_faultyUntil.find(vm);
@@ -163,9 +173,26 @@
     }
 }
 
-void GuaranteeChecker::onVersionObserved(const std::string &vm, int daemonStart, int version, bool isServed)
+/** Checks a request on the route of @p version that was answered 404: the configuration may not be in force yet, or the VM or the store has failed. */
+void GuaranteeChecker::checkVersionInTime(const std::string &vm, int version, TimePoint sentAt)
+{
+    const auto acknowledged = m_versionAcknowledgedAt.find(version);
+    const auto ended = m_processEndedAt.find(vm);
+    const bool isStarting = ended != m_processEndedAt.end() && sentAt <= ended->second + m_bounds.recoveryTime;
+    const bool isStoreStable = sentAt > m_storeFaultyUntil + m_bounds.recoveryTime;
+    const bool isDue = acknowledged != m_versionAcknowledgedAt.end() && sentAt > acknowledged->second + m_bounds.applyTime;
+    if (isDue && isStoreStable && !isStarting && hasRecovered(vm, sentAt)) {
+        fail("an acknowledged configuration comes into force in time",
+             "version " + std::to_string(version) + " at " + vm + " " + std::to_string(toMs(sentAt - acknowledged->second)) + " ms after its acknowledgement");
+    }
+}
+
+void GuaranteeChecker::onVersionObserved(const std::string &vm, int daemonStart, int version, bool isServed, TimePoint sentAt)
 {
     int &newest = m_newestVersions[{ vm, daemonStart }];
+    if (!isServed) {
+        checkVersionInTime(vm, version, sentAt);
+    }
     if (isServed) {
         newest = std::max(newest, version);
     } else if (version <= newest) {
--- a/tests/soak/guaranteechecker.h
+++ b/tests/soak/guaranteechecker.h
@@ -13,6 +13,7 @@
 /** Time limits of the guarantees. */
 struct GuaranteeBounds {
     Duration drainTime = std::chrono::milliseconds(2500); /**< Time after an acknowledged leave in which requests may still start. */
+    Duration applyTime = std::chrono::milliseconds(2500); /**< Time after its acknowledgement in which a configuration comes into force. */
     Duration recoveryTime = std::chrono::seconds(4); /**< Time after a fault of a VM in which time limits are not checked for it. */
     Duration deadlineMargin = std::chrono::milliseconds(700); /**< Time after the deadline sent by the caller in which the response may still arrive. */
     Duration closeRaceTime = std::chrono::milliseconds(200); /**< Time in which the close of a connection may lose a request before it is forwarded. */
@@ -44,6 +45,12 @@
     /** Records the end of a daemon process, graceful or not, which closes all its connections. */
     void onProcessEnd(const std::string &vm, TimePoint now);
 
+    /** Records a fault of the store that lasts until @p until at the latest. */
+    void onStoreFault(TimePoint until);
+
+    /** Records that the store has acknowledged a configuration. Only the first acknowledgement counts. */
+    void onVersionAcknowledged(int version, TimePoint now);
+
     /** Records that a daemon acknowledged the leave of a backend server. Heartbeats repeat the leave; only the first acknowledgement counts. */
     void onLeaveAcknowledged(const std::string &backend, TimePoint now);
 
@@ -64,8 +71,9 @@
      * @param daemonStart  number of starts of the daemon so far, which identifies its process
      * @param version  version that introduced the route
      * @param isServed  whether the daemon served the route; false if it answered 404
+     * @param sentAt  time at which the request was sent
      */
-    void onVersionObserved(const std::string &vm, int daemonStart, int version, bool isServed);
+    void onVersionObserved(const std::string &vm, int daemonStart, int version, bool isServed, TimePoint sentAt);
 
     /** Records a violation. */
     void fail(const std::string &guarantee, const std::string &detail);
@@ -98,11 +106,14 @@
     void checkSuccess(const CallerExchange &exchange);
     void checkLostResponse(const CallerExchange &exchange);
     void checkReusedConnection(const CallerExchange &exchange);
+    void checkVersionInTime(const std::string &vm, int version, TimePoint sentAt);
     void failIfForwarded(const CallerExchange &exchange, const std::string &guarantee);
 
     GuaranteeBounds m_bounds;
     std::map<std::string, TimePoint> m_faultyUntil; /**< End of the last fault, by VM. */
     std::map<std::string, TimePoint> m_processEndedAt; /**< Last end of the daemon process, by VM. */
+    std::map<int, TimePoint> m_versionAcknowledgedAt;
+    TimePoint m_storeFaultyUntil; /**< End of the last fault of the store. */
     std::map<std::string, TimePoint> m_leaveAcknowledgedAt; /**< Time of the first acknowledgement, by backend server. */
     std::map<std::string, bool> m_isIdempotentByRequest; /**< Whether the request is idempotent, by request id. */
     std::map<std::string, int> m_runCounts;
--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -94,6 +94,13 @@
 }
 
 void SoakCluster::publish()
+{
+    m_idleTimeout = randomDuration(MinIdleTimeout, MaxIdleTimeout);
+    publishVersion();
+}
+
+/** Publishes a version with one more route, and without a change of the limits. */
+void SoakCluster::publishVersion()
 {
     ++m_version;
     constexpr const char *Idempotent = "idempotent";
@@ -106,8 +113,9 @@
     for (platform::PublishedRoute &route : routes) {
         route.aimMs = RouteAimMs;
     }
-    m_idleTimeout = randomDuration(MinIdleTimeout, MaxIdleTimeout);
-    m_store.put("op", "config", platform::publishedConfig(m_version, routes, static_cast<int>(toMs(m_idleTimeout))));
+    m_configuration = platform::publishedConfig(m_version, routes, static_cast<int>(toMs(m_idleTimeout)));
+    m_store.put("op", "config", m_configuration);
+    m_guarantees.onVersionAcknowledged(m_version, SteadyClock().now());
 }
 
 void SoakCluster::spawn(Task<void> task)
@@ -252,12 +260,13 @@
         const int version = std::uniform_int_distribution<int>(2, std::max(m_version, 2))(m_random);
         const int daemonStart = vm.daemonStarts;
         const bool wasDaemonFaultActive = vm.isDaemonFaultActive;
+        const TimePoint sentAt = SteadyClock().now();
         const auto connections = std::make_shared<HttpClientPool>(m_loop, parseEndpoint(vm.caller).value(), PoolLimits {});
         const ExchangeResult result = co_await sendRequest(vm, connections, http::verb::get, "/v" + std::to_string(version) + "/x", 1s);
         const bool isSameProcess = daemonStart == vm.daemonStarts && !wasDaemonFaultActive && !vm.isDaemonFaultActive;
         const bool isRouteUnknown = result.end == ExchangeEnd::Answered && result.response.result() == http::status::not_found;
         if (isSameProcess && (isOk(result) || isRouteUnknown)) {
-            m_guarantees.onVersionObserved(vm.name, daemonStart, version, isOk(result));
+            m_guarantees.onVersionObserved(vm.name, daemonStart, version, isOk(result), sentAt);
         }
     }
 }
@@ -326,6 +335,8 @@
         spawn(simulateSlowPeriods(*vm));
     }
     spawn(sendForeignHeartbeats());
+    spawn(keepCopiesOfStore());
+    spawn(restoreStoreRepeatedly());
     spawn(runSoak());
     m_loop.run();
     return m_guarantees.failures();
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -85,6 +85,7 @@
     void writeSettings(const SoakVm &vm);
     void startDaemon(SoakVm &vm);
     void publish();
+    void publishVersion();
     void spawn(Task<void> task);
     Task<void> pause(Duration time);
     Duration randomDuration(Duration minimum, Duration maximum);
@@ -120,6 +121,8 @@
     void writeMalformedRow();
     void sendMalformedDatagram(SoakVm &vm);
     Task<void> sendForeignHeartbeats();
+    Task<void> keepCopiesOfStore();
+    Task<void> restoreStoreRepeatedly();
 
     Task<void> checkRecovery();
     Task<void> runSoak();
@@ -133,6 +136,7 @@
     platform::StandInTableStore m_store { m_loop };
     std::vector<std::unique_ptr<SoakVm>> m_vms;
     int m_version = 0;
+    std::string m_configuration; /**< Text of the newest configuration. */
     Duration m_idleTimeout = Duration::zero(); /**< Idle timeout of caller connections in the newest configuration. */
     uint64_t m_lastRequest = 0;
     int m_faultsInProgress = 0;
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -255,7 +255,9 @@
     if (faultKind == 3) {
         m_store.discardHistory();
     }
-    co_await pause(randomDuration(200ms, 3s));
+    const Duration time = randomDuration(200ms, 3s);
+    m_guarantees.onStoreFault(SteadyClock().now() + time);
+    co_await pause(time);
     m_store.isDown = false;
     m_store.delay = 0ms;
     m_store.dropsWriteResponses = false;
