Let the soak pause between faults, so that restarts don't hide stale routes

Cause: a restarted daemon reads the routes anew and tells its peers, so that with a fault each half second the soak could not see what the tests show.

--- a/tests/soak/soakcluster.cpp
+++ b/tests/soak/soakcluster.cpp
@@ -257,7 +257,8 @@
 {
     while (!m_isFinished) {
         co_await pause(randomDuration(100ms, 300ms));
-        const int version = std::uniform_int_distribution<int>(2, std::max(m_version, 2))(m_random);
+        const int draw = std::uniform_int_distribution<int>(2, std::max(2 * m_version, 2))(m_random);
+        const int version = std::min(draw, std::max(m_version, 2)); // often the newest one
         const int daemonStart = vm.daemonStarts;
         const bool wasDaemonFaultActive = vm.isDaemonFaultActive;
         const TimePoint sentAt = SteadyClock().now();
--- a/tests/soak/soakcluster.h
+++ b/tests/soak/soakcluster.h
@@ -30,6 +30,7 @@
     uint64_t seed = 1;
     uint32_t vmCount = 6; /**< Number of VMs, at least 4; even and odd ones are in different regions. */
     Duration faultInjectionTime = std::chrono::seconds(12); /**< Time in which faults are started. */
+    Duration maxFaultPause = std::chrono::milliseconds(900); /**< Longest pause between the starts of two faults. */
     std::string logDirectory; /**< Directory of the settings and log files of the daemons. */
     std::string program; /**< Path of the daemon program. */
     bool verbose = false; /**< Whether to print each fault when it is injected. */
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -22,7 +22,7 @@
     const TimePoint end = SteadyClock().now() + m_options.faultInjectionTime;
     while (SteadyClock().now() < end) {
         injectRandomFault();
-        co_await pause(randomDuration(50ms, 900ms));
+        co_await pause(randomDuration(50ms, m_options.maxFaultPause));
     }
     while (m_faultsInProgress > 0) {
         co_await pause(50ms);
