--- a/src/process/clustersync.h
+++ b/src/process/clustersync.h
@@ -10,7 +10,6 @@
 #include "connection/endpoints.h"
 #include "connection/peerclients.h"
 #include "connection/sleepfor.h"
-#include "process/backoff.h"
 #include "process/eventlog.h"
 #include "process/gossipmessage.h"
 #include "process/metrics.h"
@@ -21,14 +20,12 @@
 #include "process/routefollower.h"
 #include "process/storereachability.h"
 #include "process/tablestore.h"
-#include "process/vmrows.h"
 #include "process/vmsettings.h"
+#include "process/vmtablereader.h"
 
 #include <algorithm>
 #include <functional>
 #include <memory>
-#include <random>
-#include <set>
 
 namespace carobjunction
 {
@@ -47,18 +44,6 @@
 public:
     /** Name of the table that holds the VM records. */
     static constexpr const char *VmTableName = OwnRecord<typename Platform::Dialect>::TableName;
-    /**
-     * Mean interval between two reads of the VM table. Each interval is varied by 25 % so that daemons don't read at the same time. The
-     * interval is long because changes arrive from datagrams and peers, and each call to the store is billed.
-     */
-    static constexpr Duration RefreshInterval = std::chrono::seconds(60);
-    /**
-     * Delay between the first and the second read of the VM table. Daemons that start together have written their records by then. The
-     * delay is repeated until the record of this VM is stored.
-     */
-    static constexpr Duration SecondReadDelay = std::chrono::seconds(2);
-    /** Time without a report after which a VM that has no row in the VM table is removed from the directory. */
-    static constexpr Duration MissingRowTimeout = std::chrono::seconds(10);
     /** Interval at which a daemon with outdated routes retries to select a peer to fetch them from. */
     static constexpr Duration PeerSelectionRetryInterval = std::chrono::milliseconds(50);
     /** Age up to which a crash or its clearance is included in each report, because datagrams may be lost. */
@@ -89,6 +74,7 @@
                             applyPeerState(text);
                             m_ownRecord.recover();
                         })
+        , m_vmTableReader(loop, directory, m_store, m_storeReachability, m_ownRecord, m_peerRecords)
         , m_reportSender(loop, directory, metrics)
     {
         m_store.setEpochHandler([this](uint64_t previousEpoch, uint64_t epoch) { onStoreRestored(previousEpoch, epoch); });
@@ -109,7 +95,7 @@
             EventLog::write(LogLevel::Error, Event::PortUnavailable, { { "address", m_settings.peerAddress + "/udp" }, { "detail", error.message() } });
         }
         m_routeFollower.start([this] { m_reportSender.reportNow(); });
-        spawnSupervised(m_loop, "refresh-vms", [this] { return refreshVms(); });
+        m_vmTableReader.start([this] { m_reportSender.announceRecord(); });
         m_ownRecord.start({ [this] { m_reportSender.announceRecord(); }, std::move(restoreBackend) });
         m_reportSender.start(m_datagramPort,
                              { std::move(report),
@@ -185,106 +171,7 @@
         m_metrics.add(Counter::StoreRestores);
         EventLog::write(LogLevel::Warning, Event::StoreRestored, { { "previousEpoch", std::to_string(previousEpoch) }, { "epoch", std::to_string(epoch) } });
         m_routeFollower.onStoreRestored();
-        m_ownRecord.onStoreRestored();
-    }
-
-    /**
-     * Reads the VM table at the start, after the record of this VM is stored, and then periodically. If two daemons start at the same
-     * time, the second read of the daemon that stores its record last finds the record of the first daemon, so that it can send its reports to
-     * the first daemon.
-     */
-    Task<void> refreshVms()
-    {
-        Backoff backoff;
-        int reads = 0;
-        while (true) {
-            const auto rows = co_await m_store.scan(VmTableName);
-            if (!rows) {
-                m_storeReachability.onFailure(VmTableName);
-                co_await sleepFor(m_loop, backoff.next());
-                continue;
-            }
-            m_storeReachability.onResponse();
-            backoff.reset();
-            applyVmRows(*rows);
-            if (++reads > 1) {
-                co_await sleepFor(m_loop, withJitter(RefreshInterval));
-                continue;
-            }
-            m_reportSender.announceRecord();
-            do {
-                co_await sleepFor(m_loop, SecondReadDelay);
-            } while (!m_ownRecord.isStored());
-        }
-    }
-
-    /** @return @p time varied randomly by up to 25 % */
-    Duration withJitter(Duration time)
-    {
-        return scaled(time, std::uniform_real_distribution<double>(0.75, 1.25)(m_random));
-    }
-
-    /** Applies the rows of the VM table, and removes VMs that have neither a row nor a recent report. */
-    void applyVmRows(const TableRows &rows)
-    {
-        const VmRows read = readVmRows(rows);
-        std::set<std::string> daemonsWithRow(read.unreadable.begin(), read.unreadable.end());
-        logUnreadableRows(read);
-        if (daemonsWithRow.count(m_ownRecord.record().daemon) != 0) {
-            replaceUnreadableOwnRow(rows);
-        }
-        for (const VmRow &row : read.rows) {
-            if (!row.isSuperseded || m_directory.isSelf(row.record.daemon)) {
-                daemonsWithRow.insert(row.record.daemon);
-                applyVmRow(row);
-            }
-        }
-        if (daemonsWithRow.count(m_ownRecord.record().daemon) == 0) {
-            m_ownRecord.onRowMissing();
-        }
-        const TimePoint now = SteadyClock().now();
-        std::vector<VmRecord> expired;
-        for (const auto &[daemon, vm] : m_directory.all()) {
-            if (daemonsWithRow.count(daemon) == 0 && !m_directory.isSelf(daemon) && now - vm.reportedAt > MissingRowTimeout) {
-                expired.push_back(vm.record);
-            }
-        }
-        for (const VmRecord &record : expired) {
-            m_peerRecords.remove(record.daemon, record.incarnation, "no row in the VM table and no recent report of its daemon");
-        }
-        m_ownRecord.recover();
-    }
-
-    /** Logs an unreadable row only when it first appears, because it stays in the table until its writer replaces it. */
-    void logUnreadableRows(const VmRows &read)
-    {
-        for (size_t i = 0; i < read.unreadable.size(); ++i) {
-            if (m_unreadableKeys.count(read.unreadable[i]) == 0) {
-                EventLog::write(LogLevel::Warning,
-                                Event::ConfigRejected,
-                                { { "table", VmTableName }, { "key", read.unreadable[i] }, { "reason", "unreadable row: " + read.errors[i] } });
-            }
-        }
-        m_unreadableKeys = { read.unreadable.begin(), read.unreadable.end() };
-    }
-
-    /** Overwrites an unreadable row under the key of this daemon, which another writer stored, like a record of a previous run. */
-    void replaceUnreadableOwnRow(const TableRows &rows)
-    {
-        for (const TableRow &row : rows.rows) {
-            if (row.key == m_ownRecord.record().daemon) {
-                m_ownRecord.onRowRead(std::nullopt, row.version);
-            }
-        }
-    }
-
-    void applyVmRow(const VmRow &row)
-    {
-        if (m_directory.isSelf(row.record.daemon)) {
-            m_ownRecord.onRowRead(row.record, row.version);
-            return;
-        }
-        m_peerRecords.apply(row.record, RecordSource::Store);
+        m_ownRecord.writeAgain();
     }
 
     /** @return age of the last confirmation of the routes, empty if it is too old to be of use to a peer */
@@ -406,12 +293,11 @@
     PeerClients m_peerClients;
     OwnRecord<typename Platform::Dialect> m_ownRecord;
     PeerRecords m_peerRecords;
+    VmTableReader<typename Platform::Dialect> m_vmTableReader;
     std::shared_ptr<DatagramPort> m_datagramPort;
-    std::set<std::string> m_unreadableKeys; /**< Keys of the rows that could not be decoded at the last read of the VM table. */
     bool m_isFetchingRoutes = false;
     RouteFetchScheduler m_routeFetchScheduler;
     ReportSender m_reportSender;
-    std::minstd_rand m_random { std::random_device {}() };
 };
 
 } // namespace carobjunction
--- a/src/process/ownrecord.h
+++ b/src/process/ownrecord.h
@@ -144,8 +144,8 @@
         m_callbacks.restoreBackend(nullptr);
     }
 
-    /** Writes the record again, because the store was restored from an older copy, which may lack it. */
-    void onStoreRestored()
+    /** Writes the record also if it has not changed, because the stored row may be lost or replaced. */
+    void writeAgain()
     {
         m_isWritePending = true;
         m_writeTimer.cancel();
@@ -216,8 +216,7 @@
     {
         ++m_record.revision;
         m_directory.merge(m_record);
-        m_isWritePending = true;
-        m_writeTimer.cancel();
+        writeAgain();
         m_callbacks.announce();
     }
 
@@ -296,8 +295,7 @@
         const bool isOverwritten = m_isStored && !m_isWriting && version > m_rowVersion;
         m_rowVersion = version;
         if (isOverwritten) {
-            m_isWritePending = true;
-            m_writeTimer.cancel();
+            writeAgain();
         }
     }
 
