--- a/tests/platform/rowsdialecttest.cpp
+++ b/tests/platform/rowsdialecttest.cpp
@@ -162,7 +162,7 @@
 {
     HttpResponse response = makeResponse("{}");
     CHECK_FALSE(RowsDialect::epoch(response).has_value());
-    for (const char *text : { "", "-1", "1.5", "seven", "7 ", "99999999999999999999" }) {
+    for (const char *text : { "", "-1", "1.5", "seven", "7 8", "7x", "99999999999999999999" }) {
         INFO(text);
         response.set("Store-Era", text);
         CHECK_FALSE(RowsDialect::epoch(response).has_value());
